--- /dev/null
+++ b/packages/endivebridge-bench/src/Deployment.ts
@@ -0,0 +1,74 @@
+/** One of the brief's deployments at its size of today. */
+export interface Deployment {
+    readonly name: string;
+    readonly regions: readonly string[];
+    readonly domainsPerRegion: number;
+    readonly instancesPerDomain: number;
+    readonly domainDelayMillis: number;
+    readonly regionDelayMillis: number;
+    readonly clientDelayMillis: number;
+    readonly regionMegabitsPerSecond: number;
+    readonly services: readonly DeployedService[];
+}
+
+/** One service of a deployment. */
+export interface DeployedService {
+    readonly service: string;
+    readonly servers: number;
+    readonly slots: number;
+    readonly readPath: string;
+    readonly writePath: string;
+    readonly writeShare: number;
+}
+
+/** Stacklight: circulation and patron accounts in fraser, kootenay and northcoast. */
+export const stacklight: Deployment = {
+    name: "stacklight",
+    regions: ["fraser", "kootenay", "northcoast"],
+    domainsPerRegion: 2,
+    instancesPerDomain: 2,
+    domainDelayMillis: 1.5,
+    regionDelayMillis: 55,
+    clientDelayMillis: 8,
+    regionMegabitsPerSecond: 280,
+    services: [
+        { service: "circulation", servers: 30, slots: 4, readPath: "/holds", writePath: "/checkouts", writeShare: 0.2 },
+        { service: "patron", servers: 12, slots: 3, readPath: "/accounts", writePath: "/payments", writeShare: 0.2 }
+    ]
+};
+
+/** Gedeon: family desk and crew book in addis, gondar and harar. */
+export const gedeon: Deployment = {
+    name: "gedeon",
+    regions: ["addis", "gondar", "harar"],
+    domainsPerRegion: 2,
+    instancesPerDomain: 2,
+    domainDelayMillis: 1,
+    regionDelayMillis: 55,
+    clientDelayMillis: 1,
+    regionMegabitsPerSecond: 4_000,
+    services: [
+        { service: "family-desk", servers: 30, slots: 4, readPath: "/graves", writePath: "/orders", writeShare: 0.15 },
+        { service: "crew-book", servers: 12, slots: 3, readPath: "/photos", writePath: "/treatments", writeShare: 0.3 }
+    ]
+};
+
+/** Finds a deployment by name. */
+export function deploymentNamed(name: string): Deployment | undefined {
+    return [stacklight, gedeon].find(deployment => deployment.name === name);
+}
+
+/** Failure domains of a region. */
+export function domainsOf(deployment: Deployment, region: string): readonly string[] {
+    return Array.from({ length: deployment.domainsPerRegion }, (_, index) => `${region}-${index + 1}`);
+}
+
+/** All failure domains of a deployment with their regions. */
+export function allDomains(deployment: Deployment): readonly { readonly domain: string; readonly region: string; }[] {
+    return deployment.regions.flatMap(region => domainsOf(deployment, region).map(domain => ({ domain, region })));
+}
+
+/** First two numbers of the client addresses of a region. */
+export function clientNetwork(deployment: Deployment, region: string): string {
+    return `127.${1 + deployment.regions.indexOf(region)}`;
+}
--- /dev/null
+++ b/packages/endivebridge-caller/src/index.ts
@@ -0,0 +1,2 @@
+export { type Caller, type CallerAnswer, type CallerFailure, type CallerOptions, type CallerRequest, makeCaller } from "./Caller";
+export { type CachedLookup, makeLookupCache, type LookupCache } from "./LookupCache";
--- /dev/null
+++ b/packages/endivebridge-core/src/EndivebridgeAssignment.ts
@@ -0,0 +1,238 @@
+import { Schema } from "effect";
+
+const Member = Schema.Struct({
+    instance: Schema.String,
+    incarnation: Schema.String,
+    /** Sibling that has lost contact and will expel this member unless it refutes. */
+    suspectedBy: Schema.optionalKey(Schema.String)
+});
+
+const Hold = Schema.Struct({ instance: Schema.String, slots: Schema.Int });
+
+const ServerRow = Schema.Struct({
+    service: Schema.String,
+    slots: Schema.Int,
+    /** Free slots whose last owner did not release them itself; work of that owner may still run there. */
+    unreleasedSlots: Schema.Int,
+    holds: Schema.Array(Hold)
+});
+
+/** Schema of a failure domain's assignment row: who is a member and which slots each member owns. */
+export const Assignment = Schema.Struct({
+    members: Schema.Array(Member),
+    servers: Schema.Record(Schema.String, ServerRow)
+});
+
+/** A failure domain's assignment. */
+export type AssignmentRow = typeof Assignment.Type;
+
+/** One member of a failure domain. */
+export type AssignmentMember = typeof Member.Type;
+
+/** Ownership of one backend server's slots. */
+export type AssignedServer = typeof ServerRow.Type;
+
+/** A backend server as the platform lists it. */
+export interface ListedServer {
+    readonly server: string;
+    readonly service: string;
+    readonly slots: number;
+}
+
+/** The assignment of a failure domain that has no members yet. */
+export const emptyAssignment: AssignmentRow = { members: [], servers: {} };
+
+function heldBy(server: AssignedServer, instance: string): number {
+    return server.holds.find(hold => hold.instance === instance)?.slots ?? 0;
+}
+
+/** Slots of a server that no member owns. */
+export function unownedSlots(server: AssignedServer): number {
+    return server.slots - server.holds.reduce((sum, hold) => sum + hold.slots, 0);
+}
+
+/** Slots that one instance owns, by server. */
+export function heldSlots(row: AssignmentRow, instance: string): ReadonlyMap<string, number> {
+    const held = new Map<string, number>();
+    for (const [server, assigned] of Object.entries(row.servers)) {
+        const slots = heldBy(assigned, instance);
+        if (slots > 0) {
+            held.set(server, slots);
+        }
+    }
+    return held;
+}
+
+function withHold(server: AssignedServer, instance: string, slots: number): AssignedServer {
+    const others = server.holds.filter(hold => hold.instance !== instance);
+    return { ...server, holds: slots > 0 ? [...others, { instance, slots }] : others };
+}
+
+function mapServers(row: AssignmentRow, change: (server: AssignedServer, name: string) => AssignedServer): AssignmentRow {
+    const entries = Object.entries(row.servers).map(([name, server]) => [name, change(server, name)] as const);
+    return { ...row, servers: Object.fromEntries(entries) };
+}
+
+/** Frees everything that an instance holds, as slots that were not released by their owner. */
+function abandonHolds(row: AssignmentRow, instance: string): AssignmentRow {
+    return mapServers(row, server => {
+        const slots = heldBy(server, instance);
+        return { ...withHold(server, instance, 0), unreleasedSlots: server.unreleasedSlots + slots };
+    });
+}
+
+/** Adds a member; what an earlier incarnation of it held becomes free. */
+export function joinAssignment(row: AssignmentRow, instance: string, incarnation: string): AssignmentRow {
+    const known = row.members.find(member => member.instance === instance);
+    if (known?.incarnation === incarnation) {
+        return row;
+    }
+    const freed = abandonHolds(row, instance);
+    const others = freed.members.filter(member => member.instance !== instance);
+    return { ...freed, members: [...others, { instance, incarnation }] };
+}
+
+/** Removes a member that has stopped dispatching; its slots count as released. */
+export function leaveAssignment(row: AssignmentRow, instance: string): AssignmentRow {
+    const released = mapServers(row, server => withHold(server, instance, 0));
+    return { ...released, members: released.members.filter(member => member.instance !== instance) };
+}
+
+/** Marks a member as out of contact. */
+export function suspectMember(row: AssignmentRow, instance: string, suspectedBy: string): AssignmentRow {
+    return {
+        ...row,
+        members: row.members.map(member => member.instance === instance ? { ...member, suspectedBy } : member)
+    };
+}
+
+/** Takes a suspicion against a member back. */
+export function refuteSuspicion(row: AssignmentRow, instance: string): AssignmentRow {
+    return {
+        ...row,
+        members: row.members.map(member =>
+            member.instance === instance ? { instance, incarnation: member.incarnation } : member
+        )
+    };
+}
+
+/** Removes a member whose lease has lapsed; its slots become free, not released. */
+export function expelMember(row: AssignmentRow, instance: string): AssignmentRow {
+    const freed = abandonHolds(row, instance);
+    return { ...freed, members: freed.members.filter(member => member.instance !== instance) };
+}
+
+/** Brings the servers of the row in line with the platform's list; a server goes once nobody holds slots of it. */
+export function reconcileServers(row: AssignmentRow, listed: readonly ListedServer[]): AssignmentRow {
+    const servers: Record<string, AssignedServer> = {};
+    const listedNames = new Set(listed.map(each => each.server));
+    for (const { server, service, slots } of listed) {
+        const known = row.servers[server];
+        servers[server] = known === undefined
+            ? { service, slots, unreleasedSlots: 0, holds: [] }
+            : { ...known, slots: Math.max(slots, known.slots - unownedSlots(known)) };
+    }
+    for (const [name, server] of Object.entries(row.servers)) {
+        if (!listedNames.has(name) && server.holds.length > 0) {
+            servers[name] = server;
+        }
+    }
+    return { ...row, servers };
+}
+
+function serviceNames(row: AssignmentRow): readonly string[] {
+    return [...new Set(Object.values(row.servers).map(server => server.service))];
+}
+
+/** Slots of a service that a member should own: an even share, the remainder to the first by name. */
+function quota(row: AssignmentRow, service: string, instance: string, usable: (server: string) => boolean): number {
+    const members = row.members.filter(member => member.suspectedBy === undefined).map(member => member.instance).sort();
+    const rank = members.indexOf(instance);
+    if (rank < 0) {
+        return 0;
+    }
+    const total = Object.entries(row.servers)
+        .filter(([name, server]) => server.service === service && usable(name))
+        .reduce((sum, [, server]) => sum + server.slots, 0);
+    return Math.floor(total / members.length) + (rank < total % members.length ? 1 : 0);
+}
+
+/** Slots to give up or take of one server. */
+export interface SlotChange {
+    readonly server: string;
+    readonly slots: number;
+}
+
+/** What an instance should do so that every member of its failure domain owns its share. */
+export interface OwnershipPlan {
+    readonly release: readonly SlotChange[];
+    readonly claim: readonly SlotChange[];
+}
+
+function takeUpTo(candidates: readonly SlotChange[], most: number): readonly SlotChange[] {
+    let left = most;
+    const taken: SlotChange[] = [];
+    for (const { server, slots } of candidates) {
+        const part = Math.min(left, slots);
+        if (part > 0) {
+            taken.push({ server, slots: part });
+            left -= part;
+        }
+    }
+    return taken;
+}
+
+function planService(
+    row: AssignmentRow,
+    service: string,
+    instance: string,
+    usable: (server: string) => boolean
+): OwnershipPlan {
+    const named = Object.entries(row.servers)
+        .filter(([, server]) => server.service === service)
+        .sort(([left], [right]) => left < right ? -1 : 1);
+    const onLeaving = named
+        .filter(([name, server]) => !usable(name) && heldBy(server, instance) > 0)
+        .map(([name, server]) => ({ server: name, slots: heldBy(server, instance) }));
+    const kept = named.filter(([name]) => usable(name));
+    const held = kept.reduce((sum, [, server]) => sum + heldBy(server, instance), 0);
+    const share = quota(row, service, instance, usable);
+    if (held > share) {
+        const candidates = kept
+            .map(([name, server]) => ({ server: name, slots: heldBy(server, instance) }))
+            .sort((left, right) => left.slots - right.slots);
+        return { release: [...onLeaving, ...takeUpTo(candidates, held - share)], claim: [] };
+    }
+    const candidates = kept
+        .map(([name, server]) => ({ server: name, slots: unownedSlots(server) }))
+        .sort((left, right) => right.slots - left.slots);
+    return { release: onLeaving, claim: takeUpTo(candidates, share - held) };
+}
+
+/** Plans an instance's next releases and claims; `usable` is false for a server that is leaving. */
+export function planOwnership(row: AssignmentRow, instance: string, usable: (server: string) => boolean): OwnershipPlan {
+    const plans = serviceNames(row).map(service => planService(row, service, instance, usable));
+    return { release: plans.flatMap(plan => plan.release), claim: plans.flatMap(plan => plan.claim) };
+}
+
+/** Gives slots back that the instance no longer fills. */
+export function releaseSlots(row: AssignmentRow, instance: string, releases: readonly SlotChange[]): AssignmentRow {
+    const bySlots = new Map(releases.map(change => [change.server, change.slots]));
+    return mapServers(row, (server, name) => {
+        const given = bySlots.get(name) ?? 0;
+        return given === 0 ? server : withHold(server, instance, heldBy(server, instance) - given);
+    });
+}
+
+/** Takes free slots; never more than are free. */
+export function claimSlots(row: AssignmentRow, instance: string, claims: readonly SlotChange[]): AssignmentRow {
+    const bySlots = new Map(claims.map(change => [change.server, change.slots]));
+    return mapServers(row, (server, name) => {
+        const taken = Math.min(bySlots.get(name) ?? 0, unownedSlots(server));
+        if (taken <= 0) {
+            return server;
+        }
+        const claimed = withHold(server, instance, heldBy(server, instance) + taken);
+        return { ...claimed, unreleasedSlots: Math.max(0, server.unreleasedSlots - taken) };
+    });
+}
--- /dev/null
+++ b/packages/endivebridge-core/src/EndivebridgeJournal.ts
@@ -0,0 +1,104 @@
+import { Deferred, Exit } from "effect";
+import { type SteeringError, steeringError } from "./EndivebridgeErrors";
+import type { OperationId } from "./EndivebridgeOperation";
+
+/** How an operation ended: an answer, or an error kind that says whether it ran. */
+export type OperationOutcome<Answer> =
+    | { readonly kind: "answer"; readonly answer: Answer }
+    | { readonly kind: "error"; readonly error: SteeringError };
+
+/** What to do with an operation that a caller sent. */
+export type OperationEntry<Answer> =
+    | { readonly kind: "run"; readonly finish: (outcome: OperationOutcome<Answer>, ran: boolean) => void }
+    | { readonly kind: "join"; readonly outcome: Deferred.Deferred<OperationOutcome<Answer>> }
+    | { readonly kind: "done"; readonly outcome: OperationOutcome<Answer> }
+    | { readonly kind: "refused"; readonly error: SteeringError };
+
+interface Remembered<Answer> {
+    readonly fingerprint: string;
+    readonly mintEpoch: number;
+    readonly deferred: Deferred.Deferred<OperationOutcome<Answer>>;
+    outcome: OperationOutcome<Answer> | undefined;
+}
+
+/** Memory of the operations that this incarnation owns. */
+export interface Journal<Answer> {
+    readonly begin: (text: string, id: OperationId, fingerprint: string) => OperationEntry<Answer>;
+    readonly currentEpoch: () => number;
+    readonly forgetOld: () => void;
+    readonly size: () => number;
+    readonly inDoubt: () => readonly string[];
+}
+
+/** What bounds a journal. */
+export interface JournalOptions {
+    readonly nowMillis: () => number;
+    readonly mintEpochMillis: number;
+    readonly memoryMillis: number;
+    readonly capacity: number;
+}
+
+/** Makes an empty journal; epochs count from now on the given clock. */
+export function makeJournal<Answer>(options: JournalOptions): Journal<Answer> {
+    const startedAtMillis = options.nowMillis();
+    const remembered = new Map<string, Remembered<Answer>>();
+    const currentEpoch = () => Math.floor((options.nowMillis() - startedAtMillis) / options.mintEpochMillis);
+    const oldestEpoch = () => currentEpoch() - Math.floor(options.memoryMillis / options.mintEpochMillis);
+
+    const start = (text: string, id: OperationId, fingerprint: string): OperationEntry<Answer> => {
+        const entry: Remembered<Answer> = {
+            fingerprint,
+            mintEpoch: id.mintEpoch,
+            deferred: Deferred.makeUnsafe(),
+            outcome: undefined
+        };
+        remembered.set(text, entry);
+        const finish = (outcome: OperationOutcome<Answer>, ran: boolean) => {
+            entry.outcome = outcome;
+            if (!ran) {
+                remembered.delete(text);
+            }
+            Deferred.doneUnsafe(entry.deferred, Exit.succeed(outcome));
+        };
+        return { kind: "run", finish };
+    };
+
+    return {
+        currentEpoch,
+        begin: (text, id, fingerprint) => {
+            const known = remembered.get(text);
+            if (known !== undefined) {
+                if (known.fingerprint !== fingerprint) {
+                    return refused("operationMismatch", "");
+                }
+                return known.outcome === undefined
+                    ? { kind: "join", outcome: known.deferred }
+                    : { kind: "done", outcome: known.outcome };
+            }
+            if (id.mintEpoch < oldestEpoch()) {
+                return refused("operationExpired", "");
+            }
+            if (id.mintEpoch > currentEpoch()) {
+                return refused("badRequest", "the operation id is from no epoch of this instance");
+            }
+            if (remembered.size >= options.capacity) {
+                return refused("journalFull", "");
+            }
+            return start(text, id, fingerprint);
+        },
+        forgetOld: () => {
+            const oldest = oldestEpoch();
+            for (const [text, entry] of remembered) {
+                if (entry.mintEpoch < oldest && entry.outcome !== undefined) {
+                    remembered.delete(text);
+                }
+            }
+        },
+        size: () => remembered.size,
+        inDoubt: () => [...remembered].filter(([, entry]) => entry.outcome?.kind === "error").map(([text]) => text)
+    };
+
+    function refused(kind: SteeringError["kind"], detail: string): OperationEntry<Answer> {
+        return { kind: "refused", error: steeringError(kind, detail) };
+    }
+}
--- /dev/null
+++ b/packages/endivebridge-core/src/EndivebridgeLatency.ts
@@ -0,0 +1,31 @@
+const decayPerSample = 0.15;
+
+/** Decayed estimate of one backend server's service time. */
+export interface ServerLatency {
+    /** Estimate in milliseconds; undefined before the first sample. */
+    estimateMillis: number | undefined;
+    samples: number;
+    lastSampleAtMillis: number;
+}
+
+/** Makes an estimate without samples. */
+export function makeServerLatency(): ServerLatency {
+    return { estimateMillis: undefined, samples: 0, lastSampleAtMillis: 0 };
+}
+
+/** Takes one measured service time in. */
+export function recordLatency(latency: ServerLatency, millis: number, nowMillis: number): void {
+    const before = latency.estimateMillis ?? millis;
+    latency.estimateMillis = before + decayPerSample * (millis - before);
+    latency.samples += 1;
+    latency.lastSampleAtMillis = nowMillis;
+}
+
+/** Median of the servers' estimates in milliseconds; undefined while none has samples. */
+export function medianLatencyMillis(latencies: readonly ServerLatency[]): number | undefined {
+    const known = latencies
+        .map(latency => latency.estimateMillis)
+        .filter(millis => millis !== undefined)
+        .sort((left, right) => left - right);
+    return known[Math.floor((known.length - 1) / 2)];
+}
--- /dev/null
+++ b/packages/endivebridge-core/src/EndivebridgeSlots.ts
@@ -0,0 +1,165 @@
+import type { ServerPicker } from "./EndivebridgeSteering";
+import { makeServerLatency, type ServerLatency } from "./EndivebridgeLatency";
+
+/** A backend server of which this instance owns slots. */
+export interface OwnedServer {
+    readonly server: string;
+    readonly address: string;
+    readonly latency: ServerLatency;
+    /** Slots that this instance may fill now. */
+    usableSlots: number;
+    /** Requests of this instance that hold a slot. */
+    inFlight: number;
+    /** Set while the server is slow or failing: epoch of the monotonic clock until which it is passed over. */
+    setAsideUntilMillis: number;
+    leaving: boolean;
+}
+
+/** What a server's entry in the pool should be. */
+export interface OwnedSlots {
+    readonly server: string;
+    readonly address: string;
+    readonly usableSlots: number;
+    readonly leaving: boolean;
+}
+
+/** One held slot; released exactly once. */
+export interface HeldSlot {
+    readonly owned: OwnedServer;
+    readonly release: () => void;
+}
+
+/** How a wait for a slot ended. */
+export type WaitOutcome =
+    | { readonly kind: "slot"; readonly slot: HeldSlot }
+    | { readonly kind: "elsewhere" }
+    | { readonly kind: "closed" };
+
+interface Waiter {
+    readonly excluded: ReadonlySet<string>;
+    readonly resume: (outcome: WaitOutcome) => void;
+}
+
+/** The slots of one service that this instance owns, and the requests that wait for them. */
+export interface SlotPool {
+    readonly tryAcquire: (excluded: ReadonlySet<string>) => HeldSlot | undefined;
+    /** Queues a waiter; the result takes it out again. */
+    readonly wait: (excluded: ReadonlySet<string>, resume: (outcome: WaitOutcome) => void) => () => void;
+    readonly assign: (slots: readonly OwnedSlots[]) => void;
+    /** Sends up to `count` waiters, oldest first, to look for slots of peers. */
+    readonly sendElsewhere: (count: number) => void;
+    /** Lets waiters take slots that became usable. */
+    readonly wake: () => void;
+    readonly close: () => void;
+    readonly servers: () => readonly OwnedServer[];
+    readonly freeSlots: () => number;
+    readonly usableSlots: () => number;
+    readonly waiting: () => number;
+}
+
+/** What varies in a pool. */
+export interface SlotPoolOptions {
+    readonly pickServer: ServerPicker;
+    /** False while this instance may not use what it owns, as when its lease lapsed. */
+    readonly mayDispatch: () => boolean;
+    readonly nowMillis: () => number;
+}
+
+/** Makes an empty pool. */
+export function makeSlotPool(options: SlotPoolOptions): SlotPool {
+    const servers = new Map<string, OwnedServer>();
+    const waiters = new Set<Waiter>();
+
+    const tryAcquire = (excluded: ReadonlySet<string>): HeldSlot | undefined => {
+        if (!options.mayDispatch()) {
+            return undefined;
+        }
+        const owned = options.pickServer([...servers.values()], excluded, options.nowMillis());
+        if (owned === undefined) {
+            return undefined;
+        }
+        owned.inFlight += 1;
+        let held = true;
+        const release = () => {
+            if (held) {
+                held = false;
+                owned.inFlight -= 1;
+                wake();
+            }
+        };
+        return { owned, release };
+    };
+
+    const wake = () => {
+        for (const waiter of waiters) {
+            const slot = tryAcquire(waiter.excluded);
+            if (slot === undefined) {
+                if (waiter.excluded.size === 0) {
+                    return;
+                }
+                continue;
+            }
+            waiters.delete(waiter);
+            waiter.resume({ kind: "slot", slot });
+        }
+    };
+
+    const finishWaiters = (outcome: WaitOutcome, count: number) => {
+        for (const waiter of [...waiters].slice(0, count)) {
+            waiters.delete(waiter);
+            waiter.resume(outcome);
+        }
+    };
+
+    const assignOne = (slots: OwnedSlots) => {
+        const known = servers.get(slots.server);
+        if (known !== undefined && known.address === slots.address) {
+            known.usableSlots = slots.usableSlots;
+            known.leaving = slots.leaving;
+            return;
+        }
+        servers.set(slots.server, {
+            ...slots,
+            latency: makeServerLatency(),
+            inFlight: 0,
+            setAsideUntilMillis: 0
+        });
+    };
+
+    return {
+        tryAcquire,
+        wait: (excluded, resume) => {
+            const waiter: Waiter = { excluded, resume };
+            waiters.add(waiter);
+            return () => waiters.delete(waiter);
+        },
+        assign: slots => {
+            const named = new Set(slots.map(each => each.server));
+            for (const [name, owned] of servers) {
+                if (!named.has(name)) {
+                    owned.usableSlots = 0;
+                    servers.delete(name);
+                }
+            }
+            slots.forEach(assignOne);
+            wake();
+        },
+        sendElsewhere: count => finishWaiters({ kind: "elsewhere" }, count),
+        wake,
+        close: () => finishWaiters({ kind: "closed" }, waiters.size),
+        servers: () => [...servers.values()],
+        freeSlots: () => {
+            let free = 0;
+            for (const owned of servers.values()) {
+                free += owned.leaving ? 0 : Math.max(0, owned.usableSlots - owned.inFlight);
+            }
+            return options.mayDispatch() ? free : 0;
+        },
+        usableSlots: () => {
+            let usable = 0;
+            servers.forEach(owned => usable += owned.usableSlots);
+            return usable;
+        },
+        waiting: () => waiters.size
+    };
+}
--- /dev/null
+++ b/packages/endivebridge-core/src/index.ts
@@ -0,0 +1,31 @@
+export { expectedWaitMillis, makeSecondWindow, makeShareBudget, mayWait, type QueueLoad, type SecondWindow, type ShareBudget } from "./EndivebridgeAdmission";
+export {
+    type AssignedServer,
+    Assignment,
+    type AssignmentMember,
+    type AssignmentRow,
+    claimSlots,
+    emptyAssignment,
+    expelMember,
+    heldSlots,
+    joinAssignment,
+    leaveAssignment,
+    type ListedServer,
+    type OwnershipPlan,
+    planOwnership,
+    reconcileServers,
+    refuteSuspicion,
+    releaseSlots,
+    type SlotChange,
+    suspectMember,
+    unownedSlots
+} from "./EndivebridgeAssignment";
+export { type ClientBlock, type ClientBlocks, makeClientBlocks, parseAddress } from "./EndivebridgeClientBlocks";
+export { type ErrorAnswer, errorAnswers, type ErrorKind, parseErrorKind, type Ran, type SteeringError, steeringError } from "./EndivebridgeErrors";
+export { type Journal, type JournalOptions, makeJournal, type OperationEntry, type OperationOutcome } from "./EndivebridgeJournal";
+export { makeServerLatency, medianLatencyMillis, recordLatency, type ServerLatency } from "./EndivebridgeLatency";
+export { type Lease, type LeaseEvidence, makeLease } from "./EndivebridgeLease";
+export { type Hash, type LookupCandidate, type LookupQuestion, orderInstances } from "./EndivebridgeLookup";
+export { formatOperationPrefix, type OperationId, parseOperationId } from "./EndivebridgeOperation";
+export { type HeldSlot, makeSlotPool, type OwnedServer, type OwnedSlots, type SlotPool, type SlotPoolOptions, type WaitOutcome } from "./EndivebridgeSlots";
+export { pickLeastCost, type ServerPicker } from "./EndivebridgeSteering";
--- /dev/null
+++ b/packages/endivebridge-daemon/src/Answers.ts
@@ -0,0 +1,73 @@
+import { errorAnswers, type SteeringError } from "@endivebridge/core";
+import type { ServerResponse } from "node:http";
+import { pipeline } from "node:stream/promises";
+import type { Answer } from "./SteeringRequest";
+
+const retryAfterSeconds = 1;
+const retryJitterMillis = 1_000;
+
+/** Makes the answer that the table of error kinds gives for an error. */
+export function errorAnswer(error: SteeringError, request: string): Answer {
+    const { status, ran, retry, meaning } = errorAnswers[error.kind];
+    const retryAfterMillis = Math.round(200 + Math.random() * retryJitterMillis);
+    const body = Buffer.from(JSON.stringify({
+        error: error.kind,
+        ran,
+        retry,
+        meaning,
+        detail: error.detail,
+        request,
+        ...(retry ? { retryAfterMillis } : {})
+    }));
+    return {
+        status,
+        headers: [
+            ["Content-Type", "application/json"],
+            ["Endivebridge-Error", error.kind],
+            ["Endivebridge-Ran", ran],
+            ["Endivebridge-Retry", retry ? "yes" : "no"],
+            ...(retry ? [["Retry-After", String(retryAfterSeconds)] as const] : [])
+        ],
+        body,
+        rest: undefined,
+        server: ""
+    };
+}
+
+/** Makes an answer with a JSON body. */
+export function jsonAnswer(status: number, value: unknown): Answer {
+    return {
+        status,
+        headers: [["Content-Type", "application/json"], ["Cache-Control", "no-store"]],
+        body: Buffer.from(JSON.stringify(value)),
+        rest: undefined,
+        server: ""
+    };
+}
+
+/** Writes an answer; a streamed one that is cut ends the connection, so that the caller sees the cut. */
+export async function writeAnswer(response: ServerResponse, answer: Answer, request: string): Promise<void> {
+    const flat = answer.headers.flatMap(([name, value]) => [name, value]);
+    flat.push("Endivebridge-Request", request);
+    if (answer.rest === undefined) {
+        const bodyless = answer.status === 204 || answer.status === 304;
+        if (!bodyless && !hasHeader(answer, "content-length")) {
+            flat.push("Content-Length", String(answer.body.length));
+        }
+        response.writeHead(answer.status, flat);
+        response.end(answer.body);
+        return;
+    }
+    response.writeHead(answer.status, flat);
+    response.write(answer.body);
+    try {
+        await pipeline(answer.rest, response);
+    }
+    catch {
+        response.destroy();
+    }
+}
+
+function hasHeader(answer: Answer, name: string): boolean {
+    return answer.headers.some(([header]) => header.toLowerCase() === name);
+}
--- /dev/null
+++ b/packages/endivebridge-daemon/src/ConfigurationTask.ts
@@ -0,0 +1,64 @@
+import { makeClientBlocks } from "@endivebridge/core";
+import { describeFaults, parseConfiguration } from "@endivebridge/settings";
+import { monotonicMillis } from "@endivebridge/shared";
+import { Effect } from "effect";
+import type { Context } from "./Context";
+
+/** Key of the row that keeps one accepted version; rows are only ever inserted. */
+export function configurationKey(version: number): string {
+    return `configuration/${String(version).padStart(10, "0")}`;
+}
+
+/** Puts a configuration in force unless this instance already has it or a later one. */
+export function applyConfiguration(context: Context, version: number, text: string): boolean {
+    const current = context.configuration.read();
+    if (version <= (current?.version ?? 0)) {
+        return false;
+    }
+    const parsed = parseConfiguration(text);
+    if (parsed.isLeft()) {
+        const faults = describeFaults(configurationKey(version), parsed.extract() as never);
+        context.log.error({ version, faults }, "accepted configuration cannot be read");
+        return false;
+    }
+    const document = parsed.unsafeCoerce();
+    context.clientBlocks.current = makeClientBlocks(document.clientBlocks);
+    context.configuration.update(() => ({ version, document, text, inForceSinceMillis: monotonicMillis() }));
+    context.metrics.gauge("configuration_version", version);
+    context.log.info({ version }, "configuration in force");
+    return true;
+}
+
+const readNewer = (context: Context) =>
+    Effect.gen(function*() {
+        const known = context.configuration.read()?.version ?? 0;
+        if (known === 0) {
+            const rows = yield* context.platform.scanRows("configuration/");
+            const last = rows[rows.length - 1];
+            if (last !== undefined) {
+                applyConfiguration(context, Number(last.key.split("/")[1]), rowText(last.value));
+            }
+            return;
+        }
+        for (let version = known + 1;; version += 1) {
+            const row = yield* context.platform.readRow(configurationKey(version));
+            if (row === undefined) {
+                return;
+            }
+            applyConfiguration(context, version, rowText(row.value));
+        }
+    });
+
+/** Text of the document in a configuration row. */
+export function rowText(value: unknown): string {
+    return (value as { readonly text: string }).text;
+}
+
+/** Looks for newer accepted configurations until interrupted. */
+export const configurationTask = (context: Context): Effect.Effect<never> =>
+    Effect.gen(function*() {
+        for (;;) {
+            yield* Effect.ignore(readNewer(context));
+            yield* Effect.sleep(context.settings.timing.configurationMillis * (0.9 + Math.random() * 0.2));
+        }
+    });
--- /dev/null
+++ b/packages/endivebridge-daemon/src/Context.ts
@@ -0,0 +1,64 @@
+import type { AssignmentRow, ClientBlocks, Journal, Lease, SecondWindow, ShareBudget, SlotPool } from "@endivebridge/core";
+import type { ListedBackendServer, ListedEntryInstance, PlatformClient } from "@endivebridge/platform";
+import type { ConfigurationDocument, InstanceSettings } from "@endivebridge/settings";
+import type { State } from "@endivebridge/shared";
+import type { Effect, Fiber } from "effect";
+import type { BackendConnections } from "./BackendConnections";
+import type { LoadReport } from "./LoadReportTask";
+import type { Log } from "./Log";
+import type { Metrics } from "./Metrics";
+import type { Peer } from "./Peer";
+import type { Answer } from "./SteeringRequest";
+
+/** Configuration in force on this instance. */
+export interface ConfigurationInForce {
+    readonly version: number;
+    readonly document: ConfigurationDocument;
+    readonly text: string;
+    readonly inForceSinceMillis: number;
+}
+
+/** The platform's instance list as last read. */
+export interface InstancesSeen {
+    readonly entries: readonly ListedEntryInstance[];
+    readonly servers: readonly ListedBackendServer[];
+    readonly readAtMillis: number;
+}
+
+/** The assignment row of the own failure domain as last read or written. */
+export interface AssignmentSeen {
+    readonly version: number;
+    readonly row: AssignmentRow;
+}
+
+/** Everything that this instance keeps for one service. */
+export interface ServiceState {
+    readonly service: string;
+    readonly pool: SlotPool;
+    readonly retries: ShareBudget;
+    readonly hedges: ShareBudget;
+    readonly inflow: SecondWindow;
+}
+
+/** What the tasks of one entry instance share. */
+export interface Context {
+    readonly settings: InstanceSettings;
+    readonly incarnation: string;
+    readonly log: Log;
+    readonly metrics: Metrics;
+    readonly platform: PlatformClient;
+    readonly connections: BackendConnections;
+    readonly journal: Journal<Answer>;
+    readonly lease: Lease;
+    readonly configuration: State<ConfigurationInForce | undefined>;
+    readonly instances: State<InstancesSeen>;
+    readonly assignment: State<AssignmentSeen | undefined>;
+    readonly services: Map<string, ServiceState>;
+    readonly peers: Map<string, Peer>;
+    /** Latest load report of each server of which this instance owns slots. */
+    readonly reports: Map<string, LoadReport>;
+    readonly clientBlocks: { current: ClientBlocks; };
+    readonly shutdown: State<boolean>;
+    /** Starts a task that outlives the connection it was started for. */
+    readonly fork: <Value, Failure>(effect: Effect.Effect<Value, Failure>) => Fiber.Fiber<Value, Failure>;
+}
--- /dev/null
+++ b/packages/endivebridge-daemon/src/Daemon.ts
@@ -0,0 +1,137 @@
+import { makeClientBlocks, makeJournal, makeLease, makeSecondWindow, makeShareBudget, makeSlotPool, pickLeastCost } from "@endivebridge/core";
+import { makePlatformClient } from "@endivebridge/platform";
+import type { InstanceSettings } from "@endivebridge/settings";
+import { makeState, mergeTeardowns, monotonicMillis } from "@endivebridge/shared";
+import { Effect, Fiber } from "effect";
+import { randomBytes } from "node:crypto";
+import { makeBackendConnections } from "./BackendConnections";
+import { openCallerServer } from "./CallerServer";
+import { configurationTask } from "./ConfigurationTask";
+import type { AssignmentSeen, ConfigurationInForce, Context, InstancesSeen, ServiceState } from "./Context";
+import { instanceListTask } from "./InstanceListTask";
+import { loadReportTask } from "./LoadReportTask";
+import { makeLog } from "./Log";
+import { makeMetrics } from "./Metrics";
+import { leaveOwnership, ownershipTask } from "./OwnershipTask";
+import { openPeerServer } from "./PeerServer";
+import { registerPeerTasks } from "./PeerTask";
+
+const journalCapacity = 200_000;
+
+/** A running entry instance. */
+export interface Daemon {
+    readonly context: Context;
+    /** Finishes what was begun, gives the slots back and stops. */
+    readonly shutDown: () => Promise<void>;
+}
+
+function makeContext(settings: InstanceSettings): Context {
+    const nowMillis = monotonicMillis;
+    return {
+        settings,
+        incarnation: randomBytes(6).toString("hex"),
+        log: makeLog("endivebridged", settings.instance, settings.logLevel),
+        metrics: makeMetrics(settings.metrics, settings.instance),
+        platform: makePlatformClient(settings.platform),
+        connections: makeBackendConnections({
+            connectionsPerServer: settings.limits.connectionsPerServer,
+            idleMillis: settings.timing.connectionIdleMillis
+        }),
+        journal: makeJournal({
+            nowMillis,
+            mintEpochMillis: settings.timing.mintEpochMillis,
+            memoryMillis: settings.timing.operationMemoryMillis,
+            capacity: journalCapacity
+        }),
+        lease: makeLease(settings.timing.leaseMillis),
+        configuration: makeState<ConfigurationInForce | undefined>(undefined),
+        instances: makeState<InstancesSeen>({ entries: [], servers: [], readAtMillis: 0 }),
+        assignment: makeState<AssignmentSeen | undefined>(undefined),
+        services: new Map(),
+        peers: new Map(),
+        reports: new Map(),
+        clientBlocks: { current: makeClientBlocks() },
+        shutdown: makeState(false),
+        fork: effect => Effect.runFork(effect)
+    };
+}
+
+function makeService(context: Context, service: string): ServiceState {
+    const definition = () => context.configuration.read()?.document.services[service];
+    return {
+        service,
+        pool: makeSlotPool({
+            pickServer: pickLeastCost,
+            mayDispatch: () => context.lease.holds(monotonicMillis()),
+            nowMillis: monotonicMillis
+        }),
+        retries: makeShareBudget(() => definition()?.retryShare ?? 0),
+        hedges: makeShareBudget(() => definition()?.hedgeShare ?? 0),
+        inflow: makeSecondWindow()
+    };
+}
+
+function registerServices(context: Context): () => void {
+    return context.configuration.registerListener(configuration => {
+        for (const service of Object.keys(configuration?.document.services ?? {})) {
+            if (!context.services.has(service)) {
+                context.services.set(service, makeService(context, service));
+            }
+        }
+    });
+}
+
+function registerTasks(context: Context): () => void {
+    const tasks = [instanceListTask, configurationTask, ownershipTask, loadReportTask].map(task =>
+        context.fork(task(context))
+    );
+    const memory = setInterval(() => context.journal.forgetOld(), 1_000);
+    return () => {
+        clearInterval(memory);
+        tasks.forEach(task => Effect.runFork(Fiber.interrupt(task)));
+    };
+}
+
+async function finishExchanges(isOpen: () => boolean, drain: () => void, untilMillis: number): Promise<void> {
+    while (isOpen() && monotonicMillis() < untilMillis) {
+        drain();
+        await new Promise(resolve => setTimeout(resolve, 20));
+    }
+}
+
+function inFlight(context: Context): number {
+    const servers = [...context.services.values()].flatMap(service => service.pool.servers());
+    return servers.reduce((sum, owned) => sum + owned.inFlight, 0);
+}
+
+/** Starts an entry instance; the one place where its parts are put together. */
+export async function startDaemon(settings: InstanceSettings): Promise<Daemon> {
+    const context = makeContext(settings);
+    const unregisterServices = registerServices(context);
+    const unregisterPeers = registerPeerTasks(context);
+    const peerServer = await openPeerServer(context);
+    const callerServer = await openCallerServer(context);
+    const stopTasks = registerTasks(context);
+    const teardown = mergeTeardowns(
+        () => context.metrics.close(),
+        () => context.connections.closeAll(),
+        () => peerServer.close(),
+        unregisterServices,
+        unregisterPeers,
+        stopTasks
+    );
+    context.log.info({ callers: settings.callers, peers: settings.peers, incarnation: context.incarnation }, "started");
+    const shutDown = async () => {
+        const untilMillis = monotonicMillis() + settings.timing.drainMillis;
+        context.log.info("shutting down");
+        context.shutdown.update(() => true);
+        const stillOpen = () => callerServer.open() > 0 || inFlight(context) > 0;
+        await finishExchanges(stillOpen, callerServer.drain, untilMillis);
+        callerServer.close();
+        await Effect.runPromise(Effect.ignore(leaveOwnership(context)));
+        teardown();
+        callerServer.server.closeAllConnections();
+        context.log.info("stopped");
+    };
+    return { context, shutDown };
+}
--- /dev/null
+++ b/packages/endivebridge-daemon/src/DispatchRequest.ts
@@ -0,0 +1,207 @@
+import { type ErrorKind, type HeldSlot, recordLatency } from "@endivebridge/core";
+import { monotonicMillis } from "@endivebridge/shared";
+import { Effect } from "effect";
+import { type IncomingMessage, request as openRequest } from "node:http";
+import type { BackendConnections } from "./BackendConnections";
+import type { Answer, HeaderLine, SteeringRequest } from "./SteeringRequest";
+
+/** Why a backend server gave no whole answer. */
+export interface DispatchFailure {
+    readonly kind: ErrorKind;
+    readonly reason: "refused" | "unreachable" | "cut" | "deadline" | "tooLarge";
+    readonly server: string;
+    readonly ran: "no" | "maybe";
+    readonly retryAfterMillis: number;
+}
+
+/** What a dispatch needs besides the request and its slot. */
+export interface DispatchOptions {
+    readonly connections: BackendConnections;
+    readonly heldAnswerBytes: number;
+    readonly cancelHoldMillis: number;
+}
+
+const hopByHop = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "host",
+    "content-length",
+    "expect"
+]);
+
+const keptAnswerBytes = 1_048_576;
+
+function outgoingHeaders(request: SteeringRequest, address: string, remainingMillis: number): string[] {
+    const flat = ["Host", address];
+    for (const [name, value] of request.headers) {
+        if (!hopByHop.has(name.toLowerCase())) {
+            flat.push(name, value);
+        }
+    }
+    flat.push("Endivebridge-Request", request.request);
+    flat.push("Endivebridge-Deadline-Millis", String(Math.max(1, Math.floor(remainingMillis))));
+    if (request.body.length > 0 || (request.method !== "GET" && request.method !== "HEAD")) {
+        flat.push("Content-Length", String(request.body.length));
+    }
+    return flat;
+}
+
+function answerHeaders(response: IncomingMessage): readonly HeaderLine[] {
+    const lines: HeaderLine[] = [];
+    for (let index = 0; index < response.rawHeaders.length; index += 2) {
+        const name = response.rawHeaders[index]!;
+        if (!hopByHop.has(name.toLowerCase())) {
+            lines.push([name, response.rawHeaders[index + 1]!]);
+        }
+    }
+    return lines;
+}
+
+/** An answer whose end nothing marks but the end of its connection cannot be told from a cut one. */
+function isFramed(request: SteeringRequest, response: IncomingMessage): boolean {
+    const status = response.statusCode ?? 0;
+    return request.method === "HEAD"
+        || status === 204
+        || status === 304
+        || response.headers["content-length"] !== undefined
+        || response.headers["transfer-encoding"] !== undefined;
+}
+
+/**
+ * Runs one request on the backend server whose slot is held, and releases the slot when the server is done with it.
+ * Interruption cancels the request; its slot stays held for `cancelHoldMillis`.
+ */
+export function dispatchRequest(
+    options: DispatchOptions,
+    request: SteeringRequest,
+    slot: HeldSlot
+): Effect.Effect<Answer, DispatchFailure> {
+    return Effect.callback<Answer, DispatchFailure>(resume => {
+        const { server, address, latency } = slot.owned;
+        const startedAtMillis = monotonicMillis();
+        const remainingMillis = request.deadlineAtMillis - startedAtMillis;
+        const separator = address.lastIndexOf(":");
+        let connected = false;
+        let ended = false;
+        const outgoing = openRequest({
+            host: address.slice(0, separator),
+            port: Number(address.slice(separator + 1)),
+            method: request.method,
+            path: request.path,
+            headers: outgoingHeaders(request, address, remainingMillis),
+            agent: request.idempotent ? options.connections.pooled(server) : options.connections.fresh(server),
+            setHost: false
+        });
+
+        const releaseLater = () => setTimeout(slot.release, options.cancelHoldMillis);
+        const fail = (reason: DispatchFailure["reason"], kind: ErrorKind, ran: "no" | "maybe", retryAfterMillis = 0) => {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            clearTimeout(deadlineTimer);
+            outgoing.destroy();
+            if (ran === "no") {
+                slot.release();
+            }
+            else {
+                releaseLater();
+            }
+            resume(Effect.fail({ kind, reason, server, ran, retryAfterMillis }));
+        };
+        const deadlineTimer = setTimeout(() => {
+            fail("deadline", connected ? "deadlineInRun" : "deadlineBeforeRun", connected ? "maybe" : "no");
+        }, remainingMillis);
+        const lost = () => fail(connected ? "cut" : "unreachable", connected ? "serverFailed" : "noServers", connected ? "maybe" : "no");
+
+        const finish = () => {
+            ended = true;
+            clearTimeout(deadlineTimer);
+            const nowMillis = monotonicMillis();
+            recordLatency(latency, nowMillis - startedAtMillis, nowMillis);
+            slot.release();
+        };
+
+        outgoing.on("socket", socket => {
+            if (socket.connecting) {
+                socket.once("connect", () => connected = true);
+            }
+            else {
+                connected = true;
+            }
+        });
+        outgoing.on("error", lost);
+        outgoing.on("response", response => {
+            const refused = response.statusCode === 503 && response.headers["request-not-run"] !== undefined;
+            if (!isFramed(request, response)) {
+                lost();
+                return;
+            }
+            const chunks: Buffer[] = [];
+            let length = 0;
+            const most = request.idempotent ? options.heldAnswerBytes : keptAnswerBytes;
+            const answer = (rest: IncomingMessage | undefined): Answer => ({
+                status: response.statusCode ?? 502,
+                headers: contentLengthKept(response, rest),
+                body: Buffer.concat(chunks),
+                rest,
+                server
+            });
+            const onData = (chunk: Buffer) => {
+                length += chunk.length;
+                chunks.push(chunk);
+                if (length <= most || ended) {
+                    return;
+                }
+                if (!request.idempotent) {
+                    fail("tooLarge", "answerNotKept", "maybe");
+                    return;
+                }
+                ended = true;
+                clearTimeout(deadlineTimer);
+                response.off("data", onData);
+                response.pause();
+                resume(Effect.succeed(answer(response)));
+            };
+            response.on("data", onData);
+            response.on("error", lost);
+            response.on("close", () => {
+                if (ended) {
+                    slot.release();
+                    return;
+                }
+                if (!response.complete) {
+                    lost();
+                    return;
+                }
+                if (refused) {
+                    fail("refused", "overloaded", "no", Number(response.headers["retry-after"] ?? 0) * 1_000);
+                    return;
+                }
+                finish();
+                resume(Effect.succeed(answer(undefined)));
+            });
+        });
+        outgoing.end(request.body);
+        return Effect.sync(() => {
+            if (!ended) {
+                ended = true;
+                clearTimeout(deadlineTimer);
+                outgoing.destroy();
+                releaseLater();
+            }
+        });
+    });
+}
+
+function contentLengthKept(response: IncomingMessage, rest: IncomingMessage | undefined): readonly HeaderLine[] {
+    const length = response.headers["content-length"];
+    const lines = answerHeaders(response);
+    return rest !== undefined && length !== undefined ? [...lines, ["Content-Length", length]] : lines;
+}
--- /dev/null
+++ b/packages/endivebridge-daemon/src/ForwardRequest.ts
@@ -0,0 +1,79 @@
+import { Code, ConnectError } from "@connectrpc/connect";
+import { create } from "@bufbuild/protobuf";
+import { errorAnswers, type ErrorKind, parseErrorKind, type Ran } from "@endivebridge/core";
+import { type ForwardRequest, ForwardRequestSchema, type ForwardResponse } from "@endivebridge/protocol";
+import { monotonicMillis } from "@endivebridge/shared";
+import { Effect } from "effect";
+import type { Peer } from "./Peer";
+import type { Answer, SteeringRequest } from "./SteeringRequest";
+
+/** Why a peer gave no answer of a backend server. */
+export interface ForwardFailure {
+    readonly kind: ErrorKind;
+    readonly ran: Ran;
+    readonly detail: string;
+}
+
+/** Writes a request for a peer. */
+export function encodeForward(request: SteeringRequest): ForwardRequest {
+    return create(ForwardRequestSchema, {
+        service: request.service,
+        method: request.method,
+        path: request.path,
+        headers: request.headers.map(([name, value]) => ({ name, value })),
+        body: request.body,
+        deadlineMillis: Math.max(1, Math.floor(request.deadlineAtMillis - monotonicMillis())),
+        idempotent: request.idempotent,
+        operation: request.operation ?? "",
+        sourceRegion: request.sourceRegion,
+        request: request.request
+    });
+}
+
+/** Reads a peer's answer; an error kind in it becomes a failure. */
+export function decodeForward(response: ForwardResponse): Effect.Effect<Answer, ForwardFailure> {
+    if (response.errorKind !== "") {
+        const kind = parseErrorKind(response.errorKind);
+        return Effect.fail({ kind, ran: errorAnswers[kind].ran, detail: response.detail });
+    }
+    return Effect.succeed({
+        status: response.status,
+        headers: response.headers.map(({ name, value }) => [name, value] as const),
+        body: Buffer.from(response.body),
+        rest: undefined,
+        server: response.server
+    });
+}
+
+/** Sends a request to a peer's free slot, once. */
+export function forwardRequest(
+    peer: Peer,
+    request: SteeringRequest
+): Effect.Effect<Answer, ForwardFailure> {
+    return callPeer(signal => peer.client.forward(encodeForward(request), callOptions(request, signal)));
+}
+
+/** Hands an operation to the peer that owns it. */
+export function forwardOperation(
+    peer: Peer,
+    request: SteeringRequest
+): Effect.Effect<Answer, ForwardFailure> {
+    return callPeer(signal =>
+        peer.client.runOperation({ request: encodeForward(request) }, callOptions(request, signal))
+    );
+}
+
+function callOptions(request: SteeringRequest, signal: AbortSignal) {
+    return { signal, timeoutMs: Math.max(1, Math.floor(request.deadlineAtMillis - monotonicMillis())) };
+}
+
+function callPeer(call: (signal: AbortSignal) => Promise<ForwardResponse>): Effect.Effect<Answer, ForwardFailure> {
+    return Effect.tryPromise({
+        try: call,
+        catch: (error): ForwardFailure => {
+            const failure = ConnectError.from(error);
+            const kind = failure.code === Code.DeadlineExceeded ? "deadlineInRun" : "serverFailed";
+            return { kind, ran: "maybe", detail: `peer: ${failure.rawMessage}` };
+        }
+    }).pipe(Effect.flatMap(decodeForward));
+}
--- /dev/null
+++ b/packages/endivebridge-daemon/src/Heartbeat.ts
@@ -0,0 +1,81 @@
+import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import { type HeartbeatRequest, HeartbeatRequestSchema, type HeartbeatResponseSchema } from "@endivebridge/protocol";
+import { monotonicMillis } from "@endivebridge/shared";
+import type { Context } from "./Context";
+import type { Peer } from "./Peer";
+
+/** What this instance tells its peers of itself. */
+export function makeHeartbeat(context: Context): HeartbeatRequest {
+    return create(HeartbeatRequestSchema, {
+        instance: context.settings.instance,
+        incarnation: context.incarnation,
+        failureDomain: context.settings.failureDomain,
+        configurationVersion: context.configuration.read()?.version ?? 0,
+        mintEpoch: context.journal.currentEpoch(),
+        leaving: context.shutdown.read(),
+        assignmentVersion: context.assignment.read()?.version ?? 0,
+        loads: [...context.services.values()].map(service => ({
+            service: service.service,
+            freeSlots: service.pool.freeSlots(),
+            ownedSlots: service.pool.usableSlots(),
+            waiting: service.pool.waiting()
+        }))
+    });
+}
+
+/** Takes in what a peer said of itself, whichever side of the heartbeat it came from. */
+export function notePeer(peer: Peer, said: Pick<HeartbeatRequest, "incarnation" | "configurationVersion" | "mintEpoch">): void {
+    peer.incarnation = said.incarnation;
+    peer.configurationVersion = said.configurationVersion;
+    peer.mintEpoch = said.mintEpoch;
+    peer.heardAtMillis = monotonicMillis();
+}
+
+function noteLoads(context: Context, peer: Peer, request: HeartbeatRequest): void {
+    peer.leaving = request.leaving;
+    for (const load of request.loads) {
+        peer.loads.set(load.service, {
+            freeSlots: load.freeSlots,
+            ownedSlots: load.ownedSlots,
+            waiting: load.waiting
+        });
+        if (load.freeSlots > 0) {
+            context.services.get(load.service)?.pool.sendElsewhere(load.freeSlots);
+        }
+    }
+}
+
+/** Promises a sibling to leave its slots alone, unless this instance already suspects it. */
+function promiseMillis(context: Context, peer: Peer | undefined, request: HeartbeatRequest): number {
+    const seen = context.assignment.read();
+    const member = seen?.row.members.find(each => each.instance === request.instance);
+    const isSibling = request.failureDomain === context.settings.failureDomain;
+    if (peer === undefined || !isSibling || member?.incarnation !== request.incarnation) {
+        return 0;
+    }
+    if (member.suspectedBy !== undefined || (seen?.version ?? 0) > request.assignmentVersion) {
+        return 0;
+    }
+    peer.promisedAtMillis = monotonicMillis();
+    return context.settings.timing.leaseMillis;
+}
+
+/** Answers a peer's heartbeat. */
+export function answerHeartbeat(
+    context: Context,
+    request: HeartbeatRequest
+): MessageInitShape<typeof HeartbeatResponseSchema> {
+    const peer = context.peers.get(request.instance);
+    if (peer !== undefined) {
+        notePeer(peer, request);
+        noteLoads(context, peer, request);
+    }
+    return {
+        instance: context.settings.instance,
+        incarnation: context.incarnation,
+        configurationVersion: context.configuration.read()?.version ?? 0,
+        mintEpoch: context.journal.currentEpoch(),
+        leaseMillis: promiseMillis(context, peer, request),
+        assignmentVersion: context.assignment.read()?.version ?? 0
+    };
+}
--- /dev/null
+++ b/packages/endivebridge-daemon/src/InstanceListTask.ts
@@ -0,0 +1,24 @@
+import type { ListedBackendServer, ListedEntryInstance } from "@endivebridge/platform";
+import { monotonicMillis } from "@endivebridge/shared";
+import { Effect, Result } from "effect";
+import type { Context } from "./Context";
+
+const readOnce = (context: Context) =>
+    Effect.gen(function*() {
+        const listed = yield* context.platform.listInstances(context.settings.failureDomain);
+        const entries = listed.filter((each): each is ListedEntryInstance => each.kind === "entry");
+        const servers = listed.filter((each): each is ListedBackendServer => each.kind === "backend");
+        context.instances.update(() => ({ entries, servers, readAtMillis: monotonicMillis() }));
+    });
+
+/** Reads the platform's instance list until interrupted; the last list stays in use while it cannot be read. */
+export const instanceListTask = (context: Context): Effect.Effect<never> =>
+    Effect.gen(function*() {
+        for (;;) {
+            const result = yield* Effect.result(readOnce(context));
+            if (Result.isFailure(result)) {
+                context.log.debug({ failure: result.failure.kind }, "instance list cannot be read");
+            }
+            yield* Effect.sleep(context.settings.timing.instanceListMillis * (0.9 + Math.random() * 0.2));
+        }
+    });
--- /dev/null
+++ b/packages/endivebridge-daemon/src/LoadReportTask.ts
@@ -0,0 +1,47 @@
+import { httpExchange, monotonicMillis } from "@endivebridge/shared";
+import { Effect, Result } from "effect";
+import type { Context } from "./Context";
+
+/** A backend server's own word on its load; it may lag or mislead. */
+export interface LoadReport {
+    readonly inFlight: number;
+    /** Requests of this instance on the server when the report was asked for. */
+    readonly ownInFlight: number;
+    readonly sentAtMillis: number;
+}
+
+const reportTimeoutMillis = 1_000;
+const reportIntervalMillis = 1_000;
+
+const readReport = (context: Context, server: string, address: string, ownInFlight: number) =>
+    Effect.gen(function*() {
+        const sentAtMillis = monotonicMillis();
+        const answer = yield* httpExchange({
+            url: new URL(`http://${address}/load`),
+            method: "GET",
+            timeoutMillis: reportTimeoutMillis,
+            maximumAnswerBytes: 4_096
+        });
+        const value = yield* Effect.try(() => JSON.parse(answer.body.toString()) as { readonly inFlight?: unknown; });
+        if (typeof value.inFlight === "number") {
+            context.reports.set(server, { inFlight: value.inFlight, ownInFlight, sentAtMillis });
+        }
+    });
+
+/** Asks the servers of which this instance owns slots for their load, until interrupted. */
+export const loadReportTask = (context: Context): Effect.Effect<never> =>
+    Effect.gen(function*() {
+        for (;;) {
+            const owned = [...context.services.values()].flatMap(service => service.pool.servers());
+            const results = yield* Effect.forEach(
+                owned,
+                each => Effect.result(readReport(context, each.server, each.address, each.inFlight)),
+                { concurrency: 4 }
+            );
+            const failed = results.filter(Result.isFailure).length;
+            if (failed > 0) {
+                context.log.debug({ failed }, "load reports missing");
+            }
+            yield* Effect.sleep(reportIntervalMillis * (0.9 + Math.random() * 0.2));
+        }
+    });
--- /dev/null
+++ b/packages/endivebridge-daemon/src/Peer.ts
@@ -0,0 +1,30 @@
+import type { PeerService } from "@endivebridge/protocol";
+import type { Client } from "@connectrpc/connect";
+
+/** What a peer last said of one service. */
+export interface PeerLoad {
+    freeSlots: number;
+    readonly ownedSlots: number;
+    readonly waiting: number;
+}
+
+/** Another entry instance, as this one knows it. */
+export interface Peer {
+    readonly instance: string;
+    readonly failureDomain: string;
+    readonly region: string;
+    readonly peerAddress: string;
+    readonly client: Client<typeof PeerService>;
+    incarnation: string;
+    configurationVersion: number;
+    mintEpoch: number;
+    leaving: boolean;
+    /** Monotonic time of the last sign of life; 0 before the first. */
+    heardAtMillis: number;
+    /** Monotonic time at which this instance last promised to leave the peer's slots alone. */
+    promisedAtMillis: number;
+    /** Whether the latest heartbeat to it failed. */
+    failing: boolean;
+    readonly loads: Map<string, PeerLoad>;
+    readonly close: () => void;
+}
--- /dev/null
+++ b/packages/endivebridge-daemon/src/PeerServer.ts
@@ -0,0 +1,147 @@
+import { Code, ConnectError, type ConnectRouter, type Interceptor } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { create } from "@bufbuild/protobuf";
+import { type SteeringError, steeringError } from "@endivebridge/core";
+import { type ForwardRequest, type ForwardResponse, ForwardResponseSchema, PeerService } from "@endivebridge/protocol";
+import { monotonicMillis } from "@endivebridge/shared";
+import { Effect, Result } from "effect";
+import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
+import type { Context } from "./Context";
+import { answerHeartbeat } from "./Heartbeat";
+import { isRightKey } from "./Keys";
+import { runOwnedOperation } from "./Operations";
+import { runRequest } from "./ServeRequest";
+import type { Answer, SteeringRequest } from "./SteeringRequest";
+
+const forwardedAnswerBytes = 16 * 1_048_576;
+
+/** Header in which entry instances show each other their key. */
+export const peerKeyHeader = "endivebridge-peer-key";
+
+async function collectRest(answer: Answer): Promise<Buffer> {
+    const chunks: Buffer[] = [answer.body];
+    let length = answer.body.length;
+    for await (const chunk of answer.rest ?? []) {
+        length += (chunk as Buffer).length;
+        if (length > forwardedAnswerBytes) {
+            throw new ConnectError("answer too large to be passed between instances", Code.ResourceExhausted);
+        }
+        chunks.push(chunk as Buffer);
+    }
+    return Buffer.concat(chunks);
+}
+
+function decodeRequest(context: Context, message: ForwardRequest, forwarded: boolean): SteeringRequest {
+    const definition = context.configuration.read()?.document.services[message.service];
+    if (definition === undefined) {
+        throw new ConnectError("unknown service", Code.FailedPrecondition);
+    }
+    return {
+        request: message.request,
+        service: message.service,
+        definition,
+        method: message.method,
+        path: message.path,
+        headers: message.headers.map(({ name, value }) => [name, value] as const),
+        body: Buffer.from(message.body),
+        idempotent: message.idempotent,
+        operation: message.operation === "" ? undefined : message.operation,
+        idempotencyKey: undefined,
+        deadlineAtMillis: monotonicMillis() + message.deadlineMillis,
+        sourceRegion: message.sourceRegion,
+        forwarded
+    };
+}
+
+async function encodeAnswer(result: Result.Result<Answer, SteeringError>): Promise<ForwardResponse> {
+    if (Result.isFailure(result)) {
+        return create(ForwardResponseSchema, { errorKind: result.failure.kind, detail: result.failure.detail });
+    }
+    const answer = result.success;
+    return create(ForwardResponseSchema, {
+        status: answer.status,
+        headers: answer.headers.map(([name, value]) => ({ name, value })),
+        body: await collectRest(answer),
+        server: answer.server
+    });
+}
+
+function serveForward(context: Context, message: ForwardRequest, signal: AbortSignal): Promise<ForwardResponse> {
+    const request = decodeRequest(context, message, true);
+    const service = context.services.get(request.service);
+    const effect = service === undefined
+        ? Effect.fail(steeringError("noServers"))
+        : runRequest(context, service, request);
+    return Effect.runPromise(Effect.result(effect), { signal: request.idempotent ? signal : undefined }).then(encodeAnswer);
+}
+
+function serveOperation(context: Context, message: ForwardRequest): Promise<ForwardResponse> {
+    const request = decodeRequest(context, message, false);
+    const service = context.services.get(request.service);
+    const effect = service === undefined || request.operation === undefined
+        ? Effect.fail(steeringError("noServers"))
+        : runOwnedOperation(context, request, request.operation, () => runRequest(context, service, request));
+    return Effect.runPromise(Effect.result(effect)).then(encodeAnswer);
+}
+
+function keyInterceptor(key: string): Interceptor {
+    return next => request => {
+        if (!isRightKey(request.header.get(peerKeyHeader) ?? "", key)) {
+            throw new ConnectError("wrong peer key", Code.Unauthenticated);
+        }
+        return next(request);
+    };
+}
+
+function routes(context: Context): (router: ConnectRouter) => void {
+    return router => {
+        router.service(PeerService, {
+            heartbeat: request => answerHeartbeat(context, request),
+            forward: (request, call) => serveForward(context, request, call.signal),
+            runOperation: message => {
+                if (message.request === undefined) {
+                    throw new ConnectError("request missing", Code.InvalidArgument);
+                }
+                return serveOperation(context, message.request);
+            },
+            readConfiguration: () => {
+                const configuration = context.configuration.read();
+                return { version: configuration?.version ?? 0, text: configuration?.text ?? "" };
+            }
+        });
+    };
+}
+
+/** A listening peer server. */
+export interface PeerServer {
+    readonly server: Http2Server;
+    readonly close: () => void;
+}
+
+/** Listens for other entry instances. */
+export function openPeerServer(context: Context): Promise<PeerServer> {
+    const handler = connectNodeAdapter({
+        routes: routes(context),
+        interceptors: [keyInterceptor(context.settings.keys.peer)],
+        readMaxBytes: 4 * 1_048_576
+    });
+    const server = createServer(handler);
+    const sessions = new Set<ServerHttp2Session>();
+    server.on("session", session => {
+        sessions.add(session);
+        session.on("close", () => sessions.delete(session));
+        session.on("error", () => session.destroy());
+    });
+    const { host, port } = context.settings.peers;
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, host, () =>
+            resolve({
+                server,
+                close: () => {
+                    server.close();
+                    sessions.forEach(session => session.close());
+                }
+            }));
+    });
+}
--- /dev/null
+++ b/packages/endivebridge-daemon/src/PeerTask.ts
@@ -0,0 +1,142 @@
+import { createClient } from "@connectrpc/connect";
+import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import type { ListedEntryInstance } from "@endivebridge/platform";
+import { PeerService } from "@endivebridge/protocol";
+import { monotonicMillis } from "@endivebridge/shared";
+import { Effect, Fiber, Result } from "effect";
+import { applyConfiguration } from "./ConfigurationTask";
+import type { Context } from "./Context";
+import { makeHeartbeat, notePeer } from "./Heartbeat";
+import type { Peer } from "./Peer";
+import { peerKeyHeader } from "./PeerServer";
+
+const farPeerFactor = 4;
+const heartbeatsPerSecond = 10;
+const pingIntervalMillis = 10_000;
+const pingTimeoutMillis = 2_000;
+
+/** Opens the way to a peer; its HTTP/2 connection is made on first use and renewed when a PING goes unanswered. */
+export function makePeer(context: Context, listed: ListedEntryInstance): Peer {
+    const baseUrl = `http://${listed.peerAddress}`;
+    const sessionManager = new Http2SessionManager(baseUrl, {
+        pingIntervalMs: pingIntervalMillis,
+        pingTimeoutMs: pingTimeoutMillis,
+        idleConnectionTimeoutMs: 60_000
+    });
+    const transport = createConnectTransport({
+        baseUrl,
+        httpVersion: "2",
+        sessionManager,
+        interceptors: [next => request => {
+            request.header.set(peerKeyHeader, context.settings.keys.peer);
+            return next(request);
+        }]
+    });
+    return {
+        instance: listed.instance,
+        failureDomain: listed.failureDomain,
+        region: listed.region,
+        peerAddress: listed.peerAddress,
+        client: createClient(PeerService, transport),
+        incarnation: "",
+        configurationVersion: 0,
+        mintEpoch: 0,
+        leaving: listed.state === "leaving",
+        heardAtMillis: 0,
+        promisedAtMillis: 0,
+        failing: false,
+        loads: new Map(),
+        close: () => sessionManager.abort()
+    };
+}
+
+/** Time in milliseconds between heartbeats to a peer: siblings most often, all slower where there are many. */
+export function heartbeatIntervalMillis(baseMillis: number, siblings: number, others: number, isSibling: boolean): number {
+    const wantedPerSecond = (siblings + others / farPeerFactor) * (1_000 / baseMillis);
+    const stretch = Math.max(1, wantedPerSecond / heartbeatsPerSecond);
+    return baseMillis * stretch * (isSibling ? 1 : farPeerFactor);
+}
+
+function intervalTo(context: Context, peer: Peer): number {
+    const peers = [...context.peers.values()];
+    const siblings = peers.filter(each => each.failureDomain === context.settings.failureDomain).length;
+    return heartbeatIntervalMillis(
+        context.settings.timing.heartbeatMillis,
+        siblings,
+        peers.length - siblings,
+        peer.failureDomain === context.settings.failureDomain
+    );
+}
+
+const fetchConfiguration = (context: Context, peer: Peer) =>
+    Effect.gen(function*() {
+        const read = yield* Effect.promise(() => peer.client.readConfiguration({}, { timeoutMs: 2_000 }));
+        applyConfiguration(context, read.version, read.text);
+    });
+
+const beatOnce = (context: Context, peer: Peer) =>
+    Effect.gen(function*() {
+        const sentAtMillis = monotonicMillis();
+        const timeoutMs = Math.max(250, Math.min(2_000, context.settings.timing.leaseMillis / 2));
+        const answer = yield* Effect.tryPromise(signal =>
+            peer.client.heartbeat(makeHeartbeat(context), { signal, timeoutMs })
+        );
+        peer.failing = false;
+        notePeer(peer, answer);
+        if (answer.leaseMillis > 0 && answer.assignmentVersion <= (context.assignment.read()?.version ?? 0)) {
+            context.lease.confirmBySibling(peer.instance, sentAtMillis, answer.leaseMillis);
+        }
+        if (answer.configurationVersion > (context.configuration.read()?.version ?? 0)) {
+            yield* fetchConfiguration(context, peer);
+        }
+    });
+
+/** Keeps in touch with one peer until interrupted. */
+export const peerTask = (context: Context, peer: Peer): Effect.Effect<never> =>
+    Effect.gen(function*() {
+        for (;;) {
+            const result = yield* Effect.result(Effect.catchCause(beatOnce(context, peer), () => Effect.fail("failed")));
+            if (Result.isFailure(result)) {
+                peer.failing = true;
+                context.log.debug({ peer: peer.instance }, "heartbeat failed");
+            }
+            yield* Effect.sleep(intervalTo(context, peer) * (0.9 + Math.random() * 0.2));
+        }
+    });
+
+/** Keeps one task for each listed peer; a peer that is no longer listed goes once it is silent too. */
+export function registerPeerTasks(context: Context): () => void {
+    const tasks = new Map<string, Fiber.Fiber<unknown, unknown>>();
+    const stop = (instance: string) => {
+        const fiber = tasks.get(instance);
+        if (fiber !== undefined) {
+            Effect.runFork(Fiber.interrupt(fiber));
+        }
+        context.peers.get(instance)?.close();
+        context.peers.delete(instance);
+        tasks.delete(instance);
+    };
+    const reconcile = (listed: readonly ListedEntryInstance[]) => {
+        const wanted = new Map(listed.map(each => [each.instance, each]));
+        wanted.delete(context.settings.instance);
+        for (const [instance, peer] of context.peers) {
+            const entry = wanted.get(instance);
+            const silent = peer.failing || peer.heardAtMillis === 0;
+            if (entry === undefined ? silent : entry.peerAddress !== peer.peerAddress) {
+                stop(instance);
+            }
+        }
+        for (const [instance, entry] of wanted) {
+            if (!context.peers.has(instance)) {
+                const peer = makePeer(context, entry);
+                context.peers.set(instance, peer);
+                tasks.set(instance, context.fork(peerTask(context, peer)));
+            }
+        }
+    };
+    const unregister = context.instances.registerListener(seen => reconcile(seen.entries));
+    return () => {
+        unregister();
+        [...tasks.keys()].forEach(stop);
+    };
+}
--- /dev/null
+++ b/packages/endivebridge-daemon/src/PlaceRequest.ts
@@ -0,0 +1,157 @@
+import {
+    type ErrorKind,
+    type HeldSlot,
+    mayWait,
+    medianLatencyMillis,
+    parseErrorKind,
+    type SteeringError,
+    steeringError,
+    type WaitOutcome
+} from "@endivebridge/core";
+import { monotonicMillis } from "@endivebridge/shared";
+import { Effect, Result } from "effect";
+import type { Context, ServiceState } from "./Context";
+import { admitInflow } from "./Inflow";
+import type { Peer } from "./Peer";
+import { forwardRequest } from "./ForwardRequest";
+import type { Answer, SteeringRequest } from "./SteeringRequest";
+
+/** Where a request found its place: an own slot, or a peer that already ran it. */
+export type Placement =
+    | { readonly kind: "slot"; readonly slot: HeldSlot }
+    | { readonly kind: "answered"; readonly answer: Answer };
+
+const peersTriedAtOnce = 2;
+const serviceMillisBeforeSamples = 20;
+
+function refuse(kind: ErrorKind, detail: string): Effect.Effect<never, SteeringError> {
+    return Effect.fail(steeringError(kind, detail));
+}
+
+/** Service time of the service's servers here in milliseconds, for estimates of waits. */
+export function serviceMillis(service: ServiceState): number {
+    return medianLatencyMillis(service.pool.servers().map(owned => owned.latency)) ?? serviceMillisBeforeSamples;
+}
+
+function distance(context: Context, peer: Peer): number {
+    if (peer.failureDomain === context.settings.failureDomain) {
+        return 0;
+    }
+    return peer.region === context.settings.region ? 1 : 2;
+}
+
+/** Peers that may have a free slot, nearest first, those with most free slots before others. */
+export function peersWithFreeSlots(context: Context, service: string): readonly Peer[] {
+    const candidates = [...context.peers.values()].filter(peer =>
+        !peer.leaving && !peer.failing && (peer.loads.get(service)?.freeSlots ?? 0) > 0
+    );
+    const free = (peer: Peer) => peer.loads.get(service)?.freeSlots ?? 0;
+    return candidates.sort((left, right) =>
+        distance(context, left) - distance(context, right) || free(right) - free(left)
+    );
+}
+
+function waitForSlot(service: ServiceState, excluded: ReadonlySet<string>): Effect.Effect<WaitOutcome> {
+    return Effect.callback<WaitOutcome>(resume => {
+        const leave = service.pool.wait(excluded, outcome => resume(Effect.succeed(outcome)));
+        return Effect.sync(leave);
+    });
+}
+
+/** Tries the nearest peers with free slots; undefined when none took the request. */
+const tryPeers = (context: Context, service: ServiceState, request: SteeringRequest, tried: Set<string>) =>
+    Effect.gen(function*() {
+        const peers = peersWithFreeSlots(context, service.service).filter(peer => !tried.has(peer.instance));
+        for (const peer of peers.slice(0, peersTriedAtOnce)) {
+            tried.add(peer.instance);
+            const load = peer.loads.get(service.service);
+            if (load !== undefined) {
+                load.freeSlots -= 1;
+            }
+            context.metrics.count("forwards", { service: service.service });
+            const result = yield* Effect.result(forwardRequest(peer, request));
+            if (Result.isSuccess(result)) {
+                return result.success;
+            }
+            if (result.failure.ran !== "no" && !request.idempotent) {
+                return yield* Effect.fail(steeringError(parseErrorKind(result.failure.kind), result.failure.detail));
+            }
+            if (load !== undefined) {
+                load.freeSlots = 0;
+            }
+        }
+        return undefined;
+    });
+
+/**
+ * Finds a place for a request: an own slot, a free slot of a peer, or a wait for the first of either.
+ * Fails as not run where none will be free in time.
+ */
+export function placeRequest(
+    context: Context,
+    service: ServiceState,
+    request: SteeringRequest,
+    excluded: ReadonlySet<string>
+): Effect.Effect<Placement, SteeringError> {
+    return Effect.gen(function*() {
+        const tried = new Set<string>();
+        const arrivedAtMillis = monotonicMillis();
+        const ownAllowed = admitInflow(context, service, request);
+        for (;;) {
+            const slot = ownAllowed ? service.pool.tryAcquire(excluded) : undefined;
+            if (slot !== undefined) {
+                context.metrics.timing("queue_wait_millis", monotonicMillis() - arrivedAtMillis, {
+                    service: service.service
+                });
+                return { kind: "slot", slot };
+            }
+            if (request.forwarded) {
+                return yield* refuse("overloaded", "no free slot");
+            }
+            const answer = yield* tryPeers(context, service, request, tried);
+            if (answer !== undefined) {
+                return { kind: "answered", answer };
+            }
+            if (!ownAllowed) {
+                return yield* refuse("capReached", "");
+            }
+            const placed = yield* waitInQueue(service, request, excluded, arrivedAtMillis);
+            if (placed.kind === "slot") {
+                context.metrics.timing("queue_wait_millis", monotonicMillis() - arrivedAtMillis, {
+                    service: service.service
+                });
+                return placed;
+            }
+            tried.clear();
+        }
+    });
+}
+
+function waitInQueue(
+    service: ServiceState,
+    request: SteeringRequest,
+    excluded: ReadonlySet<string>,
+    arrivedAtMillis: number
+): Effect.Effect<Exclude<WaitOutcome, { kind: "closed" }>, SteeringError> {
+    return Effect.gen(function*() {
+        const nowMillis = monotonicMillis();
+        const remainingMillis = request.deadlineAtMillis - nowMillis;
+        const load = {
+            waiting: service.pool.waiting(),
+            usableSlots: service.pool.usableSlots(),
+            serviceMillis: serviceMillis(service)
+        };
+        const waitedMillis = nowMillis - arrivedAtMillis;
+        if (!mayWait(load, request.definition.queueWaitMillis - waitedMillis, remainingMillis)) {
+            return yield* refuse("overloaded", "no slot will be free in time");
+        }
+        const outcome = yield* Effect.timeoutOrElse(waitForSlot(service, excluded), {
+            duration: Math.max(1, remainingMillis),
+            orElse: () => refuse("deadlineBeforeRun", "")
+        });
+        if (outcome.kind === "closed") {
+            return yield* refuse("shuttingDown", "");
+        }
+        return outcome;
+    });
+}
--- /dev/null
+++ b/packages/endivebridge-daemon/src/index.ts
@@ -0,0 +1,1 @@
+export { type Daemon, startDaemon } from "./Daemon";
--- /dev/null
+++ b/packages/endivebridge-daemon/src/main.ts
@@ -0,0 +1,52 @@
+import { describeFaults, type DocumentFault, parseSettings } from "@endivebridge/settings";
+import { readFileSync } from "node:fs";
+import sade from "sade";
+import packageFile from "../package.json";
+import { startDaemon } from "./Daemon";
+
+const exitFailed = 1;
+const exitBadSettings = 2;
+
+function readSettingsFile(path: string): string {
+    try {
+        return readFileSync(path, "utf8");
+    }
+    catch (error) {
+        console.error(`${path}: ${(error as Error).message}`);
+        process.exit(exitBadSettings);
+    }
+}
+
+async function run(path: string, checkOnly: boolean): Promise<void> {
+    const parsed = parseSettings(readSettingsFile(path));
+    if (parsed.isLeft()) {
+        console.error(describeFaults(path, parsed.extract() as readonly DocumentFault[]));
+        process.exit(exitBadSettings);
+    }
+    if (checkOnly) {
+        console.log(`${path}: good`);
+        return;
+    }
+    const daemon = await startDaemon(parsed.unsafeCoerce());
+    let stopping = false;
+    const stop = () => {
+        if (!stopping) {
+            stopping = true;
+            daemon.shutDown().then(() => process.exit(0), () => process.exit(exitFailed));
+        }
+    };
+    process.on("SIGTERM", stop);
+    process.on("SIGINT", stop);
+}
+
+sade("endivebridged <settings>", true)
+    .version(packageFile.version)
+    .describe("Runs one entry instance. Exit codes: 0 stopped as asked, 1 failed, 2 settings are wrong.")
+    .option("--check", "Check the settings file and stop")
+    .action((path: string, options: { readonly check?: boolean; }) => {
+        run(path, options.check === true).catch((error: unknown) => {
+            console.error(error instanceof Error ? error.message : String(error));
+            process.exit(exitFailed);
+        });
+    })
+    .parse(process.argv);
--- /dev/null
+++ b/packages/endivebridge-platform/src/PlatformClient.ts
@@ -0,0 +1,218 @@
+import { type HttpAnswer, httpExchange, monotonicMillis } from "@endivebridge/shared";
+import { Effect, Result, Schema } from "effect";
+import { randomBytes } from "node:crypto";
+import { Agent } from "node:http";
+import { type ListedInstance, ListedInstances } from "./InstanceList";
+
+/** Why the platform did not do what was asked. */
+export type PlatformFailure =
+    /** No usable answer; a write may or may not have taken effect. */
+    | { readonly kind: "unavailable"; readonly detail: string }
+    /** Another write came first; `row` is what stands now, undefined where nothing does. */
+    | { readonly kind: "conflict"; readonly row: TableRow | undefined }
+    /** The platform answered with something that is not its format. */
+    | { readonly kind: "malformed"; readonly detail: string };
+
+/** One row of the table service. */
+export interface TableRow {
+    readonly key: string;
+    /** Version for the next conditional write; 0 where the row does not exist. */
+    readonly version: number;
+    readonly value: unknown;
+}
+
+/** Commands and queries of the platform; each has a time limit. */
+export interface PlatformClient {
+    readonly readRow: (key: string) => Effect.Effect<TableRow | undefined, PlatformFailure>;
+    readonly scanRows: (prefix: string) => Effect.Effect<readonly TableRow[], PlatformFailure>;
+    /** Writes if the row still has `version` (0: does not exist); a lost answer is settled before it returns. */
+    readonly writeRow: (key: string, version: number, value: unknown) => Effect.Effect<TableRow, PlatformFailure>;
+    /** Writes rows that do not exist yet, all of them or none. */
+    readonly insertRows: (rows: readonly NewRow[]) => Effect.Effect<void, PlatformFailure>;
+    readonly readObject: (key: string) => Effect.Effect<Buffer | undefined, PlatformFailure>;
+    readonly writeObject: (key: string, body: Buffer) => Effect.Effect<void, PlatformFailure>;
+    readonly listObjects: (prefix: string) => Effect.Effect<readonly string[], PlatformFailure>;
+    readonly listInstances: (viewer: string) => Effect.Effect<readonly ListedInstance[], PlatformFailure>;
+    /** Start of the first attempt since the platform last answered; undefined while it answers. */
+    readonly failedSinceMillis: () => number | undefined;
+    /** Start of the latest failed attempt; undefined while the platform answers. */
+    readonly lastFailedAttemptMillis: () => number | undefined;
+}
+
+/** A row to insert. */
+export interface NewRow {
+    readonly key: string;
+    readonly value: unknown;
+}
+
+/** What a client needs to know. */
+export interface PlatformOptions {
+    readonly url: string;
+    readonly timeoutMillis: number;
+}
+
+interface Envelope {
+    readonly writeIds: readonly string[];
+    readonly value: unknown;
+}
+
+const rememberedWriteIds = 16;
+const settleAttempts = 3;
+
+const EnvelopeSchema = Schema.Struct({ writeIds: Schema.Array(Schema.String), value: Schema.Unknown });
+const ScanSchema = Schema.Array(Schema.Struct({ key: Schema.String, version: Schema.Int, value: Schema.Unknown }));
+const KeysSchema = Schema.Array(Schema.String);
+
+function unavailable(detail: string): PlatformFailure {
+    return { kind: "unavailable", detail };
+}
+
+function decode<Value>(schema: Schema.Codec<Value, unknown>, value: unknown): Effect.Effect<Value, PlatformFailure> {
+    const result = Schema.decodeUnknownResult(schema)(value);
+    return Result.isSuccess(result)
+        ? Effect.succeed(result.success)
+        : Effect.fail({ kind: "malformed", detail: String(result.failure).slice(0, 200) });
+}
+
+function parseJson(body: Buffer): Effect.Effect<unknown, PlatformFailure> {
+    return Effect.try({
+        try: () => JSON.parse(body.toString("utf8")) as unknown,
+        catch: () => ({ kind: "malformed", detail: "not JSON" }) as PlatformFailure
+    });
+}
+
+function versionOf(answer: HttpAnswer): number {
+    return Number(String(answer.headers.etag ?? "\"0\"").replaceAll("\"", ""));
+}
+
+/** Makes a client of the platform's HTTP interface. */
+export function makePlatformClient(options: PlatformOptions): PlatformClient {
+    const agent = new Agent({ keepAlive: true, maxSockets: 16, timeout: 1_000 });
+    let failedSince: number | undefined;
+    let lastFailedAttempt: number | undefined;
+
+    const call = (method: string, path: string, headers: Record<string, string> = {}, body?: string | Buffer) =>
+        Effect.suspend(() => {
+            const startedAtMillis = monotonicMillis();
+            const url = new URL(path, options.url);
+            const noteFailure = (detail: string) => {
+                failedSince ??= startedAtMillis;
+                lastFailedAttempt = startedAtMillis;
+                return unavailable(detail);
+            };
+            return httpExchange({ url, method, headers, body, agent, timeoutMillis: options.timeoutMillis }).pipe(
+                Effect.mapError(failure => noteFailure(failure.reason)),
+                Effect.flatMap(answer => {
+                    if (answer.status >= 500) {
+                        return Effect.fail(noteFailure(`status ${answer.status}`));
+                    }
+                    failedSince = undefined;
+                    lastFailedAttempt = undefined;
+                    return Effect.succeed(answer);
+                })
+            );
+        });
+
+    const readEnvelope = (key: string) =>
+        Effect.gen(function*() {
+            const answer = yield* call("GET", `/table/${encodeURIComponent(key)}`);
+            if (answer.status === 404) {
+                return undefined;
+            }
+            const envelope: Envelope = yield* decode(EnvelopeSchema, yield* parseJson(answer.body));
+            return { version: versionOf(answer), envelope };
+        });
+
+    const readRow = (key: string) =>
+        Effect.map(readEnvelope(key), read =>
+            read === undefined ? undefined : { key, version: read.version, value: read.envelope.value }
+        );
+
+    const settleConflict = (key: string, writeId: string) =>
+        Effect.gen(function*() {
+            const read = yield* readEnvelope(key);
+            if (read === undefined) {
+                return yield* Effect.fail<PlatformFailure>({ kind: "conflict", row: undefined });
+            }
+            const row: TableRow = { key, version: read.version, value: read.envelope.value };
+            if (read.envelope.writeIds.includes(writeId)) {
+                return row;
+            }
+            return yield* Effect.fail<PlatformFailure>({ kind: "conflict", row });
+        });
+
+    const writeRow = (key: string, version: number, value: unknown): Effect.Effect<TableRow, PlatformFailure> =>
+        Effect.gen(function*() {
+            const writeId = randomBytes(9).toString("base64url");
+            const before = version === 0 ? undefined : yield* readEnvelope(key);
+            const writeIds = [writeId, ...(before?.envelope.writeIds ?? [])].slice(0, rememberedWriteIds);
+            const body = JSON.stringify({ writeIds, value });
+            const condition: Record<string, string> = version === 0
+                ? { "if-none-match": "*" }
+                : { "if-match": `"${version}"` };
+            const attempt = Effect.gen(function*() {
+                const answer = yield* call("PUT", `/table/${encodeURIComponent(key)}`, condition, body);
+                if (answer.status === 412) {
+                    return yield* settleConflict(key, writeId);
+                }
+                return { key, version: versionOf(answer), value };
+            });
+            return yield* retryUnavailable(attempt);
+        });
+
+    const insertRows = (rows: readonly NewRow[]): Effect.Effect<void, PlatformFailure> =>
+        Effect.gen(function*() {
+            const writeId = randomBytes(9).toString("base64url");
+            const body = JSON.stringify(
+                rows.map(row => ({ key: row.key, value: { writeIds: [writeId], value: row.value } }))
+            );
+            const attempt = Effect.gen(function*() {
+                const answer = yield* call("POST", "/table", {}, body);
+                if (answer.status === 412) {
+                    yield* settleConflict(rows[0]!.key, writeId);
+                }
+            });
+            yield* retryUnavailable(attempt);
+        });
+
+    // The same conditional write is safe to send again: at most one of its copies can take effect.
+    const retryUnavailable = <Value>(attempt: Effect.Effect<Value, PlatformFailure>) =>
+        Effect.gen(function*() {
+            for (let count = 1; count < settleAttempts; count += 1) {
+                const result = yield* Effect.result(attempt);
+                if (Result.isSuccess(result)) {
+                    return result.success;
+                }
+                if (result.failure.kind !== "unavailable") {
+                    return yield* Effect.fail(result.failure);
+                }
+                yield* Effect.sleep(50 * 2 ** count + Math.random() * 100);
+            }
+            return yield* attempt;
+        });
+
+    const scan = <Value>(path: string, schema: Schema.Codec<Value, unknown>) =>
+        Effect.gen(function*() {
+            const answer = yield* call("GET", path);
+            return yield* decode(schema, yield* parseJson(answer.body));
+        });
+
+    return {
+        readRow,
+        writeRow,
+        insertRows,
+        scanRows: prefix =>
+            Effect.gen(function*() {
+                const rows = yield* scan(`/table?prefix=${encodeURIComponent(prefix)}`, ScanSchema);
+                return rows.map(row => ({ ...row, value: (row.value as Envelope).value }));
+            }),
+        readObject: key =>
+            Effect.map(call("GET", `/objects/${encodeURIComponent(key)}`), answer =>
+                answer.status === 404 ? undefined : answer.body),
+        writeObject: (key, body) => Effect.asVoid(call("PUT", `/objects/${encodeURIComponent(key)}`, {}, body)),
+        listObjects: prefix => scan(`/objects?prefix=${encodeURIComponent(prefix)}`, KeysSchema),
+        listInstances: viewer => scan(`/instances?viewer=${encodeURIComponent(viewer)}`, ListedInstances),
+        failedSinceMillis: () => failedSince,
+        lastFailedAttemptMillis: () => lastFailedAttempt
+    };
+}
--- /dev/null
+++ b/packages/endivebridge-settings/src/ParseDocument.ts
@@ -0,0 +1,84 @@
+import { Result, Schema, SchemaIssue } from "effect";
+import { findNodeAtLocation, getNodeValue, type Node, parseTree, type ParseError, printParseErrorCode } from "jsonc-parser";
+import { type Either, Left, Right } from "purify-ts";
+import { Configuration, type ConfigurationDocument } from "./Configuration";
+import type { DocumentFault } from "./DocumentFault";
+import { type InstanceSettings, Settings } from "./Settings";
+
+const formatIssue = SchemaIssue.makeFormatterStandardSchemaV1();
+
+function lineAt(text: string, offset: number): number {
+    return text.slice(0, offset).split("\n").length;
+}
+
+function syntaxFault(text: string, error: ParseError): DocumentFault {
+    return {
+        line: lineAt(text, error.offset),
+        path: "(syntax)",
+        expected: "JSON with comments",
+        found: printParseErrorCode(error.error)
+    };
+}
+
+function describeFound(node: Node | undefined): string {
+    if (node === undefined) {
+        return "nothing";
+    }
+    const written = JSON.stringify(getNodeValue(node)) ?? "nothing";
+    return written.length > 60 ? `${written.slice(0, 57)}...` : written;
+}
+
+function nearestNode(tree: Node, path: readonly (string | number)[]): Node {
+    for (let length = path.length; length > 0; length -= 1) {
+        const node = findNodeAtLocation(tree, path.slice(0, length) as (string | number)[]);
+        if (node !== undefined) {
+            return node;
+        }
+    }
+    return tree;
+}
+
+function schemaFault(text: string, tree: Node, path: readonly (string | number)[], message: string): DocumentFault {
+    const exact = path.length === 0 ? tree : findNodeAtLocation(tree, [...path]);
+    return {
+        line: lineAt(text, nearestNode(tree, path).offset),
+        path: path.length === 0 ? "(document)" : path.join("."),
+        expected: message.replace(/^Expected /, ""),
+        found: describeFound(exact)
+    };
+}
+
+/** Reads JSON with comments against a schema; gives every fault of the text at once. */
+export function parseDocument<Value>(
+    schema: Schema.Codec<Value, unknown>,
+    text: string
+): Either<readonly DocumentFault[], Value> {
+    const errors: ParseError[] = [];
+    const tree = parseTree(text, errors, { allowTrailingComma: true });
+    if (tree === undefined || errors.length > 0) {
+        const faults = errors.map(error => syntaxFault(text, error));
+        return Left(faults.length > 0 ? faults : [{ line: 1, path: "(document)", expected: "an object", found: "nothing" }]);
+    }
+    const decoded = Schema.decodeUnknownResult(schema)(getNodeValue(tree), {
+        errors: "all",
+        onExcessProperty: "error"
+    });
+    if (Result.isSuccess(decoded)) {
+        return Right(decoded.success);
+    }
+    const failure = decoded.failure as unknown as { readonly issue: SchemaIssue.Issue };
+    const issues = formatIssue(failure.issue).issues;
+    return Left(
+        issues.map(issue => schemaFault(text, tree, (issue.path ?? []) as readonly (string | number)[], issue.message))
+    );
+}
+
+/** Reads the settings file of an entry instance. */
+export function parseSettings(text: string): Either<readonly DocumentFault[], InstanceSettings> {
+    return parseDocument(Settings, text);
+}
+
+/** Reads an operators' configuration document. */
+export function parseConfiguration(text: string): Either<readonly DocumentFault[], ConfigurationDocument> {
+    return parseDocument(Configuration, text);
+}
--- /dev/null
+++ b/packages/endivebridge-standins/src/PlatformStandIn.ts
@@ -0,0 +1,254 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+
+/** Faults of the stand-in; all can be changed while it runs. */
+export interface PlatformFaults {
+    /** Answers nothing while true. */
+    down: boolean;
+    delayMillis: number;
+    /** Share of writes that take effect but whose answer is lost. */
+    lostAnswerShare: number;
+    /** How old the instance list is that readers get. */
+    listLagMillis: number;
+}
+
+/** What the stand-in counted. */
+export interface PlatformRecord {
+    readonly writes: number;
+    readonly reads: number;
+    readonly refused: number;
+    readonly mostWritesPerSecond: number;
+    readonly mostReadsPerSecond: number;
+}
+
+/** Stand-in for the platform's table service, object store and instance list. */
+export interface PlatformStandIn {
+    readonly port: number;
+    readonly faults: PlatformFaults;
+    readonly setInstances: (instances: readonly unknown[]) => void;
+    /** Address of a peer as each failure domain sees it: viewer, then real address, then seen address. */
+    readonly setViews: (views: Readonly<Record<string, Readonly<Record<string, string>>>>) => void;
+    readonly record: () => PlatformRecord;
+    readonly rows: () => ReadonlyMap<string, StoredRow>;
+    readonly close: () => Promise<void>;
+}
+
+/** One row as stored. */
+export interface StoredRow {
+    readonly version: number;
+    readonly value: unknown;
+}
+
+interface ListVersion {
+    readonly setAtMillis: number;
+    readonly instances: readonly unknown[];
+}
+
+const writesPerSecond = 400;
+const readsPerSecond = 2_000;
+
+function readBody(incoming: IncomingMessage): Promise<Buffer> {
+    return new Promise((resolve, reject) => {
+        const chunks: Buffer[] = [];
+        incoming.on("data", (chunk: Buffer) => chunks.push(chunk));
+        incoming.on("end", () => resolve(Buffer.concat(chunks)));
+        incoming.on("error", reject);
+    });
+}
+
+function makeSecondCounter() {
+    let second = 0;
+    let count = 0;
+    let most = 0;
+    return {
+        tryAdd: (limit: number) => {
+            const now = Math.floor(performance.now() / 1_000);
+            if (now !== second) {
+                second = now;
+                count = 0;
+            }
+            count += 1;
+            most = Math.max(most, count);
+            return count <= limit;
+        },
+        most: () => most
+    };
+}
+
+/** Starts the stand-in on loopback. */
+export async function startPlatformStandIn(port = 0, random: () => number = Math.random): Promise<PlatformStandIn> {
+    const rows = new Map<string, StoredRow>();
+    const objects = new Map<string, Buffer>();
+    const faults: PlatformFaults = { down: false, delayMillis: 0, lostAnswerShare: 0, listLagMillis: 0 };
+    let lists: ListVersion[] = [{ setAtMillis: Number.NEGATIVE_INFINITY, instances: [] }];
+    let views: Readonly<Record<string, Readonly<Record<string, string>>>> = {};
+    let writes = 0;
+    let reads = 0;
+    let refused = 0;
+    const writeCounter = makeSecondCounter();
+    const readCounter = makeSecondCounter();
+
+    const reply = (response: ServerResponse, status: number, body: string | Buffer, version?: number) => {
+        response.writeHead(status, {
+            "content-type": "application/json",
+            "content-length": Buffer.byteLength(body),
+            ...(version === undefined ? {} : { etag: `"${version}"` })
+        });
+        response.end(body);
+    };
+
+    const conditionHolds = (incoming: IncomingMessage, key: string): boolean => {
+        const stored = rows.get(key);
+        if (incoming.headers["if-none-match"] === "*") {
+            return stored === undefined;
+        }
+        const match = incoming.headers["if-match"];
+        return match === undefined || match === `"${stored?.version ?? 0}"`;
+    };
+
+    const store = (key: string, value: unknown): number => {
+        const version = (rows.get(key)?.version ?? 0) + 1;
+        rows.set(key, { version, value });
+        return version;
+    };
+
+    const serveTable = async (incoming: IncomingMessage, response: ServerResponse, url: URL, lost: boolean) => {
+        const key = decodeURIComponent(url.pathname.slice("/table/".length));
+        if (incoming.method === "GET" && key === "") {
+            const prefix = url.searchParams.get("prefix") ?? "";
+            const found = [...rows].filter(([name]) => name.startsWith(prefix)).sort(([a], [b]) => a < b ? -1 : 1);
+            reply(response, 200, JSON.stringify(found.map(([name, row]) => ({ key: name, ...row }))));
+            return;
+        }
+        if (incoming.method === "GET") {
+            const stored = rows.get(key);
+            reply(response, stored === undefined ? 404 : 200, JSON.stringify(stored?.value ?? {}), stored?.version);
+            return;
+        }
+        const body = JSON.parse((await readBody(incoming)).toString()) as unknown;
+        if (incoming.method === "POST") {
+            const added = body as readonly { readonly key: string; readonly value: unknown; }[];
+            if (added.some(row => rows.has(row.key))) {
+                reply(response, 412, "{}");
+                return;
+            }
+            added.forEach(row => store(row.key, row.value));
+            finishWrite(response, 201, undefined, lost);
+            return;
+        }
+        if (!conditionHolds(incoming, key)) {
+            reply(response, 412, "{}");
+            return;
+        }
+        finishWrite(response, 200, store(key, body), lost);
+    };
+
+    const finishWrite = (response: ServerResponse, status: number, version: number | undefined, lost: boolean) => {
+        if (lost) {
+            response.destroy();
+            return;
+        }
+        reply(response, status, "{}", version);
+    };
+
+    const serveObjects = async (incoming: IncomingMessage, response: ServerResponse, url: URL) => {
+        const key = decodeURIComponent(url.pathname.slice("/objects/".length));
+        if (incoming.method === "PUT") {
+            objects.set(key, await readBody(incoming));
+            reply(response, 200, "{}");
+            return;
+        }
+        if (key === "") {
+            const prefix = url.searchParams.get("prefix") ?? "";
+            reply(response, 200, JSON.stringify([...objects.keys()].filter(name => name.startsWith(prefix)).sort()));
+            return;
+        }
+        const stored = objects.get(key);
+        reply(response, stored === undefined ? 404 : 200, stored ?? "");
+    };
+
+    const serveInstances = (response: ServerResponse, url: URL) => {
+        const cutoff = performance.now() - faults.listLagMillis;
+        const list = lists.filter(each => each.setAtMillis <= cutoff).at(-1) ?? lists[0]!;
+        const view = views[url.searchParams.get("viewer") ?? ""] ?? {};
+        const seen = list.instances.map(each => {
+            const entry = each as { readonly peerAddress?: string; };
+            const address = entry.peerAddress;
+            return address === undefined ? entry : { ...entry, peerAddress: view[address] ?? address };
+        });
+        reply(response, 200, JSON.stringify(seen));
+    };
+
+    const serve = async (incoming: IncomingMessage, response: ServerResponse) => {
+        const url = new URL(incoming.url ?? "/", "http://platform");
+        const isWrite = incoming.method !== "GET";
+        const allowed = isWrite ? writeCounter.tryAdd(writesPerSecond) : readCounter.tryAdd(readsPerSecond);
+        if (faults.delayMillis > 0) {
+            await new Promise(resolve => setTimeout(resolve, faults.delayMillis));
+        }
+        if (faults.down) {
+            response.destroy();
+            return;
+        }
+        if (!allowed) {
+            refused += 1;
+            reply(response, 503, "{}");
+            return;
+        }
+        if (isWrite) {
+            writes += 1;
+        }
+        else {
+            reads += 1;
+        }
+        const lost = isWrite && random() < faults.lostAnswerShare;
+        if (url.pathname.startsWith("/table")) {
+            await serveTable(incoming, response, url, lost);
+        }
+        else if (url.pathname.startsWith("/objects")) {
+            await serveObjects(incoming, response, url);
+        }
+        else {
+            serveInstances(response, url);
+        }
+    };
+
+    const server = createServer({ keepAliveTimeout: 30_000 }, (incoming, response) => {
+        serve(incoming, response).catch(() => response.destroy());
+    });
+    await listen(server, port);
+    return {
+        port: portOf(server),
+        faults,
+        setInstances: instances => {
+            lists = [...lists.slice(-200), { setAtMillis: performance.now(), instances }];
+        },
+        setViews: next => views = next,
+        record: () => ({
+            writes,
+            reads,
+            refused,
+            mostWritesPerSecond: writeCounter.most(),
+            mostReadsPerSecond: readCounter.most()
+        }),
+        rows: () => rows,
+        close: () =>
+            new Promise(resolve => {
+                server.closeAllConnections();
+                server.close(() => resolve());
+            })
+    };
+}
+
+/** Listens on loopback. */
+export function listen(server: Server, port: number, host = "127.0.0.1"): Promise<void> {
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, host, resolve);
+    });
+}
+
+/** Port that a listening server got. */
+export function portOf(server: Server): number {
+    const address = server.address();
+    return typeof address === "object" ? address?.port ?? 0 : 0;
+}
--- /dev/null
+++ b/packages/shared/src/HttpExchange.ts
@@ -0,0 +1,88 @@
+import { Effect } from "effect";
+import { type Agent, type IncomingHttpHeaders, request as openRequest } from "node:http";
+
+/** One HTTP/1.1 request, sent whole. */
+export interface HttpCall {
+    readonly url: URL;
+    readonly method: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body?: string | Buffer;
+    readonly agent?: Agent;
+    readonly localAddress?: string;
+    readonly timeoutMillis: number;
+    readonly maximumAnswerBytes?: number;
+}
+
+/** One whole HTTP/1.1 answer. */
+export interface HttpAnswer {
+    readonly status: number;
+    readonly headers: IncomingHttpHeaders;
+    readonly body: Buffer;
+}
+
+/** Why no whole answer came; `sent` says whether any byte of the request may have left. */
+export interface HttpFailure {
+    readonly reason: string;
+    readonly sent: boolean;
+}
+
+const defaultMaximumAnswerBytes = 64 * 1_048_576;
+
+/** Sends one request and waits for the whole answer; interruption closes the connection. */
+export function httpExchange(call: HttpCall): Effect.Effect<HttpAnswer, HttpFailure> {
+    return Effect.callback<HttpAnswer, HttpFailure>(resume => {
+        let sent = false;
+        const request = openRequest(call.url, {
+            method: call.method,
+            agent: call.agent,
+            localAddress: call.localAddress,
+            headers: call.body === undefined
+                ? call.headers
+                : { ...call.headers, "content-length": Buffer.byteLength(call.body) }
+        });
+        const fail = (reason: string) => {
+            clearTimeout(timer);
+            request.destroy();
+            resume(Effect.fail({ reason, sent }));
+        };
+        const timer = setTimeout(() => fail("timeout"), call.timeoutMillis);
+        request.on("socket", socket => {
+            if (socket.connecting) {
+                socket.once("connect", () => sent = true);
+            }
+            else {
+                sent = true;
+            }
+        });
+        request.on("error", error => fail(error.message));
+        request.on("response", response => {
+            const chunks: Buffer[] = [];
+            let length = 0;
+            response.on("data", (chunk: Buffer) => {
+                length += chunk.length;
+                chunks.push(chunk);
+                if (length > (call.maximumAnswerBytes ?? defaultMaximumAnswerBytes)) {
+                    fail("answer too large");
+                }
+            });
+            response.on("error", error => fail(error.message));
+            response.on("close", () => {
+                if (!response.complete) {
+                    fail("answer cut");
+                    return;
+                }
+                clearTimeout(timer);
+                resume(Effect.succeed({
+                    status: response.statusCode ?? 0,
+                    headers: response.headers,
+                    body: Buffer.concat(chunks)
+                }));
+            });
+        });
+        request.end(call.body);
+        return Effect.sync(() => {
+            clearTimeout(timer);
+            request.destroy();
+        });
+    });
+}
--- /dev/null
+++ b/packages/shared/src/State.ts
@@ -0,0 +1,29 @@
+import type { Teardown } from "./MergeTeardowns";
+
+/** A published value that is replaced whole; a value once read never changes. */
+export interface State<Value> {
+    readonly read: () => Value;
+    readonly update: (change: (value: Value) => Value) => Value;
+    readonly registerListener: (listener: (value: Value, previous: Value) => void) => Teardown;
+}
+
+/** Makes a state holder; listeners run after each update that changed the value. */
+export function makeState<Value>(initial: Value): State<Value> {
+    let current = initial;
+    const listeners = new Set<(value: Value, previous: Value) => void>();
+    return {
+        read: () => current,
+        update: change => {
+            const previous = current;
+            current = change(previous);
+            if (current !== previous) {
+                listeners.forEach(listener => listener(current, previous));
+            }
+            return current;
+        },
+        registerListener: listener => {
+            listeners.add(listener);
+            return () => listeners.delete(listener);
+        }
+    };
+}
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,22 @@
+import { build } from "esbuild";
+
+const programs = {
+    endivebridged: "packages/endivebridge-daemon/src/main.ts",
+    endivebench: "packages/endivebridge-bench/src/main.ts"
+};
+
+const shim = "import { createRequire as __createRequire } from \"node:module\"; const require = __createRequire(import.meta.url);";
+
+await build({
+    entryPoints: programs,
+    outdir: "dist",
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "esm",
+    mainFields: ["module", "main"],
+    sourcemap: "linked",
+    logLevel: "warning",
+    external: ["unix-dgram", "dtrace-provider", "mv", "safe-json-stringify"],
+    banner: { js: `#!/usr/bin/env node\n${shim}` }
+});
