Bench: overhead against direct and a plain pass-through; shared look-ups in the caller

Cause: each request of a caller without a fresh look-up asked on its own (26,000 look-ups in 5 s); a retry after a cut could end as not run although the first attempt had run (64 false not-run in 8 s). Change: one look-up at a time for each caller and service; doubt of an earlier attempt is kept.

--- a/packages/endivebridge-bench/src/Demo.ts
+++ b/packages/endivebridge-bench/src/Demo.ts
@@ -14,7 +14,7 @@
 }
 
 const serviceMillis = 50;
-const load = 0.5;
+const load = Number(process.env.LOAD ?? 0.5);
 
 function sum(values: readonly number[]): number {
     return values.reduce((total, value) => total + value, 0);
--- a/packages/endivebridge-bench/src/World.ts
+++ b/packages/endivebridge-bench/src/World.ts
@@ -304,7 +304,8 @@
             })
         );
         const log = openSync(logPath(instance), "a");
-        instance.process = spawn(process.execPath, [programPath("endivebridged"), settingsPath], {
+        const nodeArguments = process.env.ENDIVEBENCH_NODE_ARGUMENTS?.split(" ") ?? [];
+        instance.process = spawn(process.execPath, [...nodeArguments, programPath("endivebridged"), settingsPath], {
             stdio: ["ignore", log, log]
         });
     };
--- a/packages/endivebridge-bench/src/main.ts
+++ b/packages/endivebridge-bench/src/main.ts
@@ -2,6 +2,20 @@
 import packageFile from "../package.json";
 import { serveCallerProcess } from "./CallerProcess";
 import { runDemo } from "./Demo";
+import { servePassThrough } from "./PassThrough";
+import { reportScenario, type Scenario } from "./ScenarioReport";
+import { overhead } from "./scenarios/Overhead";
+
+interface NamedScenario {
+    readonly name: string;
+    readonly describe: string;
+    readonly seconds: number;
+    readonly scenario: Scenario;
+}
+
+const scenarios: readonly NamedScenario[] = [
+    { name: "overhead", describe: "Cost against direct and a plain pass-through", seconds: 20, scenario: overhead }
+];
 
 function finish(run: Promise<number>): void {
     run.then(code => process.exit(code), (error: unknown) => {
@@ -28,8 +42,22 @@
             stay: options.stay === true
         })));
 
+for (const { name, describe, seconds, scenario } of scenarios) {
+    program
+        .command(name, describe)
+        .option("--seed", "Seed of the load and the faults", 1)
+        .option("--seconds", "Seconds of load", seconds)
+        .option("--json", "Accepted for symmetry; the last line is always JSON")
+        .action(options =>
+            finish(reportScenario(name, scenario, { seed: Number(options.seed), seconds: Number(options.seconds) })));
+}
+
 program
     .command("caller-process", "Used by the other commands: sends the load")
     .action(serveCallerProcess);
 
+program
+    .command("pass-through-process <target>", "Used by overhead: a plain proxy")
+    .action(servePassThrough);
+
 program.parse(process.argv);
--- a/packages/endivebridge-caller/src/LookupCache.ts
+++ b/packages/endivebridge-caller/src/LookupCache.ts
@@ -1,7 +1,9 @@
 import { type HttpAnswer, httpExchange, monotonicMillis } from "@endivebridge/shared";
-import { Effect, Result, Schema } from "effect";
+import { Deferred, Effect, Result, Schema } from "effect";
 import type { Agent } from "node:http";
 
+const shortestLifeMillis = 250;
+
 const LookupSchema = Schema.Struct({
     instances: Schema.Array(
         Schema.Struct({ instance: Schema.String, address: Schema.String, operationPrefix: Schema.String })
@@ -18,6 +20,7 @@
 /** A look-up answer with the time until which it may be used. */
 export interface CachedLookup {
     readonly instances: readonly NamedInstance[];
+    readonly readAtMillis: number;
     readonly expiresAtMillis: number;
 }
 
@@ -50,6 +53,7 @@
     const { instances, timeToLiveMillis } = decoded.success;
     return {
         instances,
+        readAtMillis: monotonicMillis(),
         expiresAtMillis: monotonicMillis() + timeToLiveMillis
     };
 }
@@ -57,6 +61,7 @@
 /** Makes an empty cache. */
 export function makeLookupCache(options: LookupCacheOptions): LookupCache {
     const cached = new Map<string, CachedLookup>();
+    const refreshing = new Map<string, Deferred.Deferred<CachedLookup, string>>();
     let offset = Math.floor(Math.random() * options.entryAddresses.length);
 
     const ask = (address: string, service: string) => {
@@ -90,6 +95,20 @@
             return yield* Effect.fail("no entry instance answered the look-up");
         });
 
+    // Requests that need a look-up at the same time share one.
+    const refreshShared = (service: string): Effect.Effect<CachedLookup, string> =>
+        Effect.suspend(() => {
+            const running = refreshing.get(service);
+            if (running !== undefined) {
+                return Deferred.await(running);
+            }
+            const deferred = Deferred.makeUnsafe<CachedLookup, string>();
+            refreshing.set(service, deferred);
+            const task = Effect.ensuring(refresh(service), Effect.sync(() => refreshing.delete(service)));
+            Effect.runFork(Deferred.into(task, deferred));
+            return Deferred.await(deferred);
+        });
+
     const rotated = () => {
         const { entryAddresses } = options;
         return entryAddresses.map((_, index) => entryAddresses[(index + offset) % entryAddresses.length]!);
@@ -100,11 +119,11 @@
             const known = cached.get(service);
             return known !== undefined && monotonicMillis() < known.expiresAtMillis
                 ? Effect.succeed(known)
-                : refresh(service);
+                : refreshShared(service);
         },
         expire: service => {
             const known = cached.get(service);
-            if (known !== undefined) {
+            if (known !== undefined && monotonicMillis() - known.readAtMillis > shortestLifeMillis) {
                 cached.set(service, { ...known, expiresAtMillis: 0 });
             }
         }
--- a/packages/endivebridge-daemon/src/PlaceRequest.ts
+++ b/packages/endivebridge-daemon/src/PlaceRequest.ts
@@ -21,6 +21,11 @@
     | { readonly kind: "slot"; readonly slot: HeldSlot }
     | { readonly kind: "answered"; readonly answer: Answer };
 
+/** Whether any attempt at a request so far may have run. */
+export interface Doubt {
+    mayHaveRun: boolean;
+}
+
 const peersTriedAtOnce = 2;
 const serviceMillisBeforeSamples = 20;
 
@@ -59,7 +64,13 @@
 }
 
 /** Tries the nearest peers with free slots; undefined when none took the request. */
-const tryPeers = (context: Context, service: ServiceState, request: SteeringRequest, tried: Set<string>) =>
+const tryPeers = (
+    context: Context,
+    service: ServiceState,
+    request: SteeringRequest,
+    tried: Set<string>,
+    doubt: Doubt
+) =>
     Effect.gen(function*() {
         const peers = peersWithFreeSlots(context, service.service).filter(peer => !tried.has(peer.instance));
         for (const peer of peers.slice(0, peersTriedAtOnce)) {
@@ -73,7 +84,8 @@
             if (Result.isSuccess(result)) {
                 return result.success;
             }
-            if (result.failure.ran !== "no" && !request.idempotent) {
+            doubt.mayHaveRun ||= result.failure.ran !== "no";
+            if (doubt.mayHaveRun && !request.idempotent) {
                 return yield* Effect.fail(steeringError(parseErrorKind(result.failure.kind), result.failure.detail));
             }
             if (load !== undefined) {
@@ -91,7 +103,8 @@
     context: Context,
     service: ServiceState,
     request: SteeringRequest,
-    excluded: ReadonlySet<string>
+    excluded: ReadonlySet<string>,
+    doubt: Doubt
 ): Effect.Effect<Placement, SteeringError> {
     return Effect.gen(function*() {
         const tried = new Set<string>();
@@ -108,7 +121,7 @@
             if (request.forwarded) {
                 return yield* refuse("overloaded", "no free slot");
             }
-            const answer = yield* tryPeers(context, service, request, tried);
+            const answer = yield* tryPeers(context, service, request, tried, doubt);
             if (answer !== undefined) {
                 return { kind: "answered", answer };
             }
--- a/packages/endivebridge-daemon/src/ServeRequest.ts
+++ b/packages/endivebridge-daemon/src/ServeRequest.ts
@@ -1,10 +1,10 @@
-import { type SteeringError, steeringError } from "@endivebridge/core";
+import { errorAnswers, type SteeringError, steeringError } from "@endivebridge/core";
 import { monotonicMillis } from "@endivebridge/shared";
 import { Effect, Result } from "effect";
 import type { Context, ServiceState } from "./Context";
 import { type DispatchFailure, dispatchRequest } from "./DispatchRequest";
 import { runKeyedOperation, runOwnedOperation } from "./Operations";
-import { placeRequest } from "./PlaceRequest";
+import { type Doubt, placeRequest } from "./PlaceRequest";
 import type { Answer, SteeringRequest } from "./SteeringRequest";
 
 const setAsideMillis = 1_000;
@@ -37,6 +37,14 @@
     return safe && failure.reason !== "deadline" && failure.reason !== "tooLarge" && service.retries.trySpend();
 }
 
+/** Never says "not run" of a request of which an earlier attempt may have run. */
+function withDoubt<Value>(doubt: Doubt, effect: Effect.Effect<Value, SteeringError>): Effect.Effect<Value, SteeringError> {
+    return Effect.mapError(effect, error => {
+        const saysNotRun = errorAnswers[error.kind].ran === "no";
+        return doubt.mayHaveRun && saysNotRun ? steeringError("serverFailed", `then ${error.kind}`) : error;
+    });
+}
+
 /** Runs a request on a backend server, its own or a peer's; a retry goes to another server. */
 export function runRequest(
     context: Context,
@@ -45,10 +53,11 @@
 ): Effect.Effect<Answer, SteeringError> {
     return Effect.gen(function*() {
         const excluded = new Set<string>();
+        const doubt: Doubt = { mayHaveRun: false };
         service.retries.earn();
         service.hedges.earn();
         for (let attempt = 1;; attempt += 1) {
-            const placement = yield* placeRequest(context, service, request, excluded);
+            const placement = yield* withDoubt(doubt, placeRequest(context, service, request, excluded, doubt));
             if (placement.kind === "answered") {
                 return placement.answer;
             }
@@ -58,8 +67,10 @@
             }
             const failure = result.failure;
             passOver(service, failure);
+            doubt.mayHaveRun ||= failure.ran !== "no";
             if (attempt >= attemptsAtMost || !mayRetry(service, request, failure)) {
-                return yield* Effect.fail(steeringError(failure.kind, `server ${failure.server}: ${failure.reason}`));
+                const detail = `server ${failure.server}: ${failure.reason}`;
+                return yield* withDoubt(doubt, Effect.fail(steeringError(failure.kind, detail)));
             }
             context.metrics.count("retries", { service: service.service });
             excluded.add(failure.server);
