--- a/packages/endivebridge-daemon/src/Answers.ts
+++ b/packages/endivebridge-daemon/src/Answers.ts
@@ -45,8 +45,11 @@
     };
 }
 
-/** Writes an answer; a streamed one that is cut ends the connection, so that the caller sees the cut. */
-export async function writeAnswer(response: ServerResponse, answer: Answer, request: string): Promise<void> {
+/**
+ * Writes an answer; gives the end of the transfer where it streams. A streamed answer that is cut ends the
+ * connection, so that the caller sees the cut.
+ */
+export function writeAnswer(response: ServerResponse, answer: Answer, request: string): Promise<void> | undefined {
     const flat = answer.headers.flatMap(([name, value]) => [name, value]);
     flat.push("Endivebridge-Request", request);
     if (answer.rest === undefined) {
@@ -56,16 +59,13 @@
         }
         response.writeHead(answer.status, flat);
         response.end(answer.body);
-        return;
+        return undefined;
     }
     response.writeHead(answer.status, flat);
     response.write(answer.body);
-    try {
-        await pipeline(answer.rest, response);
-    }
-    catch {
+    return pipeline(answer.rest, response).catch(() => {
         response.destroy();
-    }
+    });
 }
 
 function hasHeader(answer: Answer, name: string): boolean {
--- a/packages/endivebridge-daemon/src/CallerRequest.ts
+++ b/packages/endivebridge-daemon/src/CallerRequest.ts
@@ -4,12 +4,14 @@
 import { Effect } from "effect";
 import type { IncomingMessage } from "node:http";
 import type { Context } from "./Context";
+import { isHopByHop } from "./HopByHop";
 import { homeRegion } from "./Lookup";
 import type { HeaderLine, SteeringRequest } from "./SteeringRequest";
 
 const deadlineHeader = "endivebridge-deadline-millis";
 const operationHeader = "endivebridge-operation";
 const idempotencyHeader = "idempotency-key";
+const noBody = Buffer.alloc(0);
 const safeTarget = /^\/[\x21-\x7e]*$/;
 const keyPattern = /^[\x21-\x7e]{1,255}$/;
 
@@ -22,12 +24,63 @@
     return (incoming.socket.remoteAddress ?? "").replace(/^::ffff:/, "");
 }
 
-function singleHeader(incoming: IncomingMessage, name: string): Effect.Effect<string | undefined, SteeringError> {
-    const values = incoming.headersDistinct[name];
-    if (values !== undefined && values.length > 1) {
+/** What the system itself reads of a request's head. */
+interface RequestHead {
+    readonly lines: readonly HeaderLine[];
+    operation: string | undefined;
+    idempotencyKey: string | undefined;
+    deadline: string | undefined;
+    contentLength: string | undefined;
+    chunked: boolean;
+}
+
+function setOnce(head: RequestHead, field: "operation" | "idempotencyKey" | "deadline", name: string, value: string) {
+    if (head[field] !== undefined) {
         return refuse("badRequest", `${name} is given more than once`);
     }
-    return Effect.succeed(values?.[0]);
+    head[field] = value;
+    return undefined;
+}
+
+/** Reads the head in one pass over the lines as they came. */
+function readHead(incoming: IncomingMessage): Effect.Effect<RequestHead, SteeringError> {
+    const lines: HeaderLine[] = [];
+    const head: RequestHead = {
+        lines,
+        operation: undefined,
+        idempotencyKey: undefined,
+        deadline: undefined,
+        contentLength: undefined,
+        chunked: false
+    };
+    const { rawHeaders } = incoming;
+    let fault: Effect.Effect<never, SteeringError> | undefined;
+    for (let index = 0; index < rawHeaders.length; index += 2) {
+        const name = rawHeaders[index]!;
+        const value = rawHeaders[index + 1]!;
+        switch (name.toLowerCase()) {
+            case operationHeader:
+                fault ??= setOnce(head, "operation", name, value);
+                break;
+            case idempotencyHeader:
+                fault ??= setOnce(head, "idempotencyKey", name, value);
+                break;
+            case deadlineHeader:
+                fault ??= setOnce(head, "deadline", name, value);
+                break;
+            case "content-length":
+                head.contentLength = value;
+                break;
+            case "transfer-encoding":
+                head.chunked = true;
+                break;
+            default:
+                if (!isHopByHop(name)) {
+                    lines.push([name, value]);
+                }
+        }
+    }
+    return fault ?? Effect.succeed(head);
 }
 
 function readDeadline(text: string | undefined, definition: ServiceDefinition): Effect.Effect<number, SteeringError> {
@@ -40,10 +93,14 @@
     return Effect.succeed(Math.min(Number(text), definition.maximumDeadlineMillis));
 }
 
-function readBody(incoming: IncomingMessage, mostBytes: number): Effect.Effect<Buffer, SteeringError> {
-    if (Number(incoming.headers["content-length"] ?? 0) > mostBytes) {
+function readBody(incoming: IncomingMessage, head: RequestHead, mostBytes: number): Effect.Effect<Buffer, SteeringError> {
+    if (Number(head.contentLength ?? 0) > mostBytes) {
         return refuse("bodyTooLarge", `at most ${mostBytes} bytes`);
     }
+    if (head.contentLength === undefined && !head.chunked) {
+        incoming.resume();
+        return Effect.succeed(noBody);
+    }
     return Effect.callback<Buffer, SteeringError>(resume => {
         const chunks: Buffer[] = [];
         let length = 0;
@@ -61,14 +118,6 @@
     });
 }
 
-function headerLines(incoming: IncomingMessage): readonly HeaderLine[] {
-    const lines: HeaderLine[] = [];
-    for (let index = 0; index < incoming.rawHeaders.length; index += 2) {
-        lines.push([incoming.rawHeaders[index]!, incoming.rawHeaders[index + 1]!]);
-    }
-    return lines;
-}
-
 function isIdempotent(definition: ServiceDefinition, method: string, path: string): boolean {
     return definition.idempotentRoutes.some(route => route.method === method && path.startsWith(route.pathPrefix));
 }
@@ -100,22 +149,22 @@
             return yield* refuse("unknownService", service.slice(0, 64));
         }
         const path = end < 0 ? "/" : target.slice(end);
-        const operation = yield* singleHeader(incoming, operationHeader);
-        const idempotencyKey = yield* singleHeader(incoming, idempotencyHeader);
+        const head = yield* readHead(incoming);
+        const { operation, idempotencyKey } = head;
         if (idempotencyKey !== undefined && !keyPattern.test(idempotencyKey)) {
             return yield* refuse("badRequest", `${idempotencyHeader} is too long or not printable`);
         }
-        const deadlineMillis = yield* readDeadline(yield* singleHeader(incoming, deadlineHeader), definition);
+        const deadlineMillis = yield* readDeadline(head.deadline, definition);
         const deadlineAtMillis = monotonicMillis() + deadlineMillis;
         const method = incoming.method ?? "GET";
-        const body = yield* readBody(incoming, context.settings.limits.bodyBytes);
+        const body = yield* readBody(incoming, head, context.settings.limits.bodyBytes);
         return {
             request,
             service,
             definition,
             method,
             path,
-            headers: headerLines(incoming),
+            headers: head.lines,
             body,
             idempotent: isIdempotent(definition, method, path),
             operation,
--- a/packages/endivebridge-daemon/src/CallerServer.ts
+++ b/packages/endivebridge-daemon/src/CallerServer.ts
@@ -76,7 +76,10 @@
         if (context.shutdown.read() || !exchange.incoming.complete) {
             exchange.response.setHeader("Connection", "close");
         }
-        yield* Effect.promise(() => writeAnswer(exchange.response, answer, request));
+        const streaming = writeAnswer(exchange.response, answer, request);
+        if (streaming !== undefined) {
+            yield* Effect.promise(() => streaming);
+        }
     });
 
 /** Serves one caller's connection, request after request, until interrupted. */
--- a/packages/endivebridge-daemon/src/Daemon.ts
+++ b/packages/endivebridge-daemon/src/Daemon.ts
@@ -2,7 +2,7 @@
 import { makePlatformClient } from "@endivebridge/platform";
 import type { InstanceSettings } from "@endivebridge/settings";
 import { makeState, mergeTeardowns, monotonicMillis } from "@endivebridge/shared";
-import { Effect, Fiber } from "effect";
+import { Effect, Fiber, Scheduler } from "effect";
 import { randomBytes } from "node:crypto";
 import { makeBackendConnections } from "./BackendConnections";
 import { openCallerServer } from "./CallerServer";
@@ -16,6 +16,15 @@
 import { openPeerServer } from "./PeerServer";
 import { registerPeerTasks } from "./PeerTask";
 
+// Resumed tasks run at the end of the current event, not after the next poll for events.
+const soonScheduler = new Scheduler.MixedScheduler("async", task => {
+    let cancelled = false;
+    queueMicrotask(() => cancelled ? undefined : task());
+    return () => {
+        cancelled = true;
+    };
+});
+
 const journalCapacity = 200_000;
 
 /** A running entry instance. */
@@ -52,7 +61,7 @@
         reports: new Map(),
         clientBlocks: { current: makeClientBlocks() },
         shutdown: makeState(false),
-        fork: effect => Effect.runFork(effect)
+        fork: effect => Effect.runFork(effect, { scheduler: soonScheduler })
     };
 }
 
