--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,8 @@
+export default {
+    files: ["packages/*/src/__tests__/**/*.test.ts"],
+    extensions: { ts: "module" },
+    nodeArguments: ["--import=tsx"],
+    timeout: "3m",
+    concurrency: 2,
+    workerThreads: false
+};
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,7 +13,11 @@
             "@typescript-eslint/naming-convention": [
                 "error",
                 { selector: "typeLike", format: ["PascalCase"] },
-                { selector: ["function", "parameter"], format: ["camelCase", "PascalCase"], filter: { regex: "^\\$", match: false } },
+                {
+                    selector: ["function", "parameter"],
+                    format: ["camelCase", "PascalCase"],
+                    filter: { regex: "^\\$", match: false }
+                },
                 { selector: "variable", format: ["camelCase", "PascalCase"], filter: { regex: "^\\$", match: false } }
             ]
         }
--- a/packages/endivebridge-bench/src/Deployment.ts
+++ b/packages/endivebridge-bench/src/Deployment.ts
@@ -1,3 +1,5 @@
+import { range } from "@endivebridge/shared";
+
 /** One of the brief's deployments at its size of today. */
 export interface Deployment {
     readonly name: string;
@@ -60,7 +62,7 @@
 
 /** Failure domains of a region. */
 export function domainsOf(deployment: Deployment, region: string): readonly string[] {
-    return Array.from({ length: deployment.domainsPerRegion }, (_, index) => `${region}-${index + 1}`);
+    return range(deployment.domainsPerRegion).map(index => `${region}-${index + 1}`);
 }
 
 /** All failure domains of a deployment with their regions. */
--- a/packages/endivebridge-bench/src/LoadPlan.ts
+++ b/packages/endivebridge-bench/src/LoadPlan.ts
@@ -20,6 +20,8 @@
     readonly seconds: number;
     /** Answers in the first seconds are not counted in latencies. */
     readonly warmUpSeconds: number;
+    /** Time over which the rate grows from a tenth to the whole, so that processes just started can warm up. */
+    readonly rampSeconds: number;
     readonly streams: readonly LoadStream[];
     readonly entryAddresses: readonly string[];
     /** Address to connect to, by region and address. */
--- a/packages/endivebridge-caller/src/LookupCache.ts
+++ b/packages/endivebridge-caller/src/LookupCache.ts
@@ -1,4 +1,4 @@
-import { type HttpAnswer, httpExchange, monotonicMillis } from "@endivebridge/shared";
+import { type HttpAnswer, httpExchange, monotonicMillis, range } from "@endivebridge/shared";
 import { Deferred, Effect, Result, Schema } from "effect";
 import type { Agent } from "node:http";
 
@@ -111,7 +111,7 @@
 
     const rotated = () => {
         const { entryAddresses } = options;
-        return entryAddresses.map((_, index) => entryAddresses[(index + offset) % entryAddresses.length]!);
+        return range(entryAddresses.length).map(index => entryAddresses[(index + offset) % entryAddresses.length]!);
     };
 
     return {
--- a/packages/endivebridge-caller/src/index.ts
+++ b/packages/endivebridge-caller/src/index.ts
@@ -1,2 +1,9 @@
-export { type Caller, type CallerAnswer, type CallerFailure, type CallerOptions, type CallerRequest, makeCaller } from "./Caller";
-export { type CachedLookup, makeLookupCache, type LookupCache } from "./LookupCache";
+export {
+    type Caller,
+    type CallerAnswer,
+    type CallerFailure,
+    type CallerOptions,
+    type CallerRequest,
+    makeCaller
+} from "./Caller";
+export { type CachedLookup, type LookupCache, makeLookupCache } from "./LookupCache";
--- a/packages/endivebridge-core/src/EndivebridgeAssignment.ts
+++ b/packages/endivebridge-core/src/EndivebridgeAssignment.ts
@@ -68,7 +68,10 @@
     return { ...server, holds: slots > 0 ? [...others, { instance, slots }] : others };
 }
 
-function mapServers(row: AssignmentRow, change: (server: AssignedServer, name: string) => AssignedServer): AssignmentRow {
+function mapServers(
+    row: AssignmentRow,
+    change: (server: AssignedServer, name: string) => AssignedServer
+): AssignmentRow {
     const entries = Object.entries(row.servers).map(([name, server]) => [name, change(server, name)] as const);
     return { ...row, servers: Object.fromEntries(entries) };
 }
@@ -146,7 +149,8 @@
 
 /** Slots of a service that a member should own: an even share, the remainder to the first by name. */
 function quota(row: AssignmentRow, service: string, instance: string, usable: (server: string) => boolean): number {
-    const members = row.members.filter(member => member.suspectedBy === undefined).map(member => member.instance).sort();
+    const members = row.members.filter(member => member.suspectedBy === undefined).map(member => member.instance)
+        .sort();
     const rank = members.indexOf(instance);
     if (rank < 0) {
         return 0;
@@ -210,7 +214,11 @@
 }
 
 /** Plans an instance's next releases and claims; `usable` is false for a server that is leaving. */
-export function planOwnership(row: AssignmentRow, instance: string, usable: (server: string) => boolean): OwnershipPlan {
+export function planOwnership(
+    row: AssignmentRow,
+    instance: string,
+    usable: (server: string) => boolean
+): OwnershipPlan {
     const plans = serviceNames(row).map(service => planService(row, service, instance, usable));
     return { release: plans.flatMap(plan => plan.release), claim: plans.flatMap(plan => plan.claim) };
 }
--- a/packages/endivebridge-core/src/EndivebridgeErrors.ts
+++ b/packages/endivebridge-core/src/EndivebridgeErrors.ts
@@ -46,9 +46,19 @@
     notReady: { status: 503, ran: "no", retry: true, meaning: "the instance has no configuration yet" },
     shuttingDown: { status: 503, ran: "no", retry: true, meaning: "the instance is shutting down" },
     journalFull: { status: 503, ran: "no", retry: true, meaning: "no further operation can be remembered" },
-    platformDown: { status: 503, ran: "no", retry: true, meaning: "the platform's table service is needed and is down" },
+    platformDown: {
+        status: 503,
+        ran: "no",
+        retry: true,
+        meaning: "the platform's table service is needed and is down"
+    },
     deadlineBeforeRun: { status: 504, ran: "no", retry: true, meaning: "the deadline passed before a slot was free" },
-    deadlineInRun: { status: 504, ran: "maybe", retry: true, meaning: "the deadline passed while a backend server ran it" },
+    deadlineInRun: {
+        status: 504,
+        ran: "maybe",
+        retry: true,
+        meaning: "the deadline passed while a backend server ran it"
+    },
     serverFailed: { status: 502, ran: "maybe", retry: true, meaning: "the backend server's answer was lost" },
     ownerUnreachable: {
         status: 502,
--- a/packages/endivebridge-core/src/EndivebridgeJournal.ts
+++ b/packages/endivebridge-core/src/EndivebridgeJournal.ts
@@ -4,15 +4,15 @@
 
 /** How an operation ended: an answer, or an error kind that says whether it ran. */
 export type OperationOutcome<Answer> =
-    | { readonly kind: "answer"; readonly answer: Answer }
-    | { readonly kind: "error"; readonly error: SteeringError };
+    | { readonly kind: "answer"; readonly answer: Answer; }
+    | { readonly kind: "error"; readonly error: SteeringError; };
 
 /** What to do with an operation that a caller sent. */
 export type OperationEntry<Answer> =
-    | { readonly kind: "run"; readonly finish: (outcome: OperationOutcome<Answer>, ran: boolean) => void }
-    | { readonly kind: "join"; readonly outcome: Deferred.Deferred<OperationOutcome<Answer>> }
-    | { readonly kind: "done"; readonly outcome: OperationOutcome<Answer> }
-    | { readonly kind: "refused"; readonly error: SteeringError };
+    | { readonly kind: "run"; readonly finish: (outcome: OperationOutcome<Answer>, ran: boolean) => void; }
+    | { readonly kind: "join"; readonly outcome: Deferred.Deferred<OperationOutcome<Answer>>; }
+    | { readonly kind: "done"; readonly outcome: OperationOutcome<Answer>; }
+    | { readonly kind: "refused"; readonly error: SteeringError; };
 
 interface Remembered<Answer> {
     readonly fingerprint: string;
--- a/packages/endivebridge-core/src/EndivebridgeOperation.ts
+++ b/packages/endivebridge-core/src/EndivebridgeOperation.ts
@@ -14,8 +14,8 @@
 
 /** Reads an operation id as callers send it. */
 export function parseOperationId(text: string): Either<SteeringError, OperationId> {
-    const match = idPattern.exec(text);
-    if (match === null) {
+    const match = idPattern.exec(text) ?? undefined;
+    if (match === undefined) {
         return Left(steeringError("badRequest", "the operation id is not one of ours"));
     }
     const [, instance = "", incarnation = "", mintEpoch = "", random = "", counter = ""] = match;
--- a/packages/endivebridge-core/src/EndivebridgeSlots.ts
+++ b/packages/endivebridge-core/src/EndivebridgeSlots.ts
@@ -1,5 +1,5 @@
-import type { ServerPicker } from "./EndivebridgeSteering";
 import { makeServerLatency, type ServerLatency } from "./EndivebridgeLatency";
+import type { ServerPicker } from "./EndivebridgeSteering";
 
 /** A backend server of which this instance owns slots. */
 export interface OwnedServer {
@@ -31,9 +31,9 @@
 
 /** How a wait for a slot ended. */
 export type WaitOutcome =
-    | { readonly kind: "slot"; readonly slot: HeldSlot }
-    | { readonly kind: "elsewhere" }
-    | { readonly kind: "closed" };
+    | { readonly kind: "slot"; readonly slot: HeldSlot; }
+    | { readonly kind: "elsewhere"; }
+    | { readonly kind: "closed"; };
 
 interface Waiter {
     readonly excluded: ReadonlySet<string>;
--- /dev/null
+++ b/packages/endivebridge-core/src/__tests__/unit/EndivebridgeAdmission.test.ts
@@ -0,0 +1,51 @@
+import test from "ava";
+import fc from "fast-check";
+import { makeSecondWindow, makeShareBudget, mayWait } from "../../index";
+
+test("no one-second window ever holds more than the cap, however arrivals fall", t => {
+    fc.assert(
+        fc.property(
+            fc.array(fc.integer({ min: 0, max: 400 }), { maxLength: 200 }),
+            fc.integer({ min: 0, max: 9 }),
+            (gaps, cap) => {
+                const window = makeSecondWindow();
+                const admitted: number[] = [];
+                let nowMillis = 0;
+                for (const gap of gaps) {
+                    nowMillis += gap;
+                    if (window.tryAdd(nowMillis, cap)) {
+                        admitted.push(nowMillis);
+                    }
+                }
+                const worst = Math.max(
+                    0,
+                    ...admitted.map(end => admitted.filter(time => time > end - 1_000 && time <= end).length)
+                );
+                if (worst > cap) {
+                    throw new Error(`${worst} in one second`);
+                }
+            }
+        ),
+        { seed: 3, numRuns: 300 }
+    );
+    t.pass();
+});
+
+test("a request waits only where a slot is expected in time", t => {
+    const load = { waiting: 9, usableSlots: 10, serviceMillis: 50 };
+    t.true(mayWait(load, 100, 1_000));
+    t.false(mayWait(load, 40, 1_000));
+    t.false(mayWait(load, 100, 90));
+    t.false(mayWait({ ...load, usableSlots: 0 }, 100, 1_000));
+});
+
+test("a budget never gives more than its share and its reserve", t => {
+    const budget = makeShareBudget(() => 0.1);
+    let spent = 0;
+    for (let request = 0; request < 1_000; request += 1) {
+        budget.earn();
+        spent += budget.trySpend() ? 1 : 0;
+    }
+    t.true(spent <= 101);
+    t.true(spent >= 99);
+});
--- /dev/null
+++ b/packages/endivebridge-core/src/__tests__/unit/EndivebridgeAssignment.test.ts
@@ -0,0 +1,125 @@
+import test from "ava";
+import fc from "fast-check";
+import {
+    type AssignmentRow,
+    claimSlots,
+    emptyAssignment,
+    expelMember,
+    heldSlots,
+    joinAssignment,
+    leaveAssignment,
+    planOwnership,
+    reconcileServers,
+    refuteSuspicion,
+    releaseSlots,
+    suspectMember,
+    unownedSlots
+} from "../../index";
+
+const servers = ["s1", "s2", "s3", "s4", "s5"].map(server => ({ server, service: "circulation", slots: 4 }));
+const instances = ["a", "b", "c"];
+
+function settle(row: AssignmentRow, members: readonly string[]): AssignmentRow {
+    let current = row;
+    for (let turn = 0; turn < 20; turn += 1) {
+        for (const instance of members) {
+            const plan = planOwnership(current, instance, () => true);
+            current = claimSlots(releaseSlots(current, instance, plan.release), instance, plan.claim);
+        }
+    }
+    return current;
+}
+
+function total(row: AssignmentRow, instance: string): number {
+    return [...heldSlots(row, instance).values()].reduce((sum, slots) => sum + slots, 0);
+}
+
+function joined(members: readonly string[]): AssignmentRow {
+    const empty = reconcileServers(emptyAssignment, servers);
+    return members.reduce((row, member) => joinAssignment(row, member, "1"), empty);
+}
+
+test("members settle on even shares and every slot has one owner", t => {
+    const row = settle(joined(instances), instances);
+    t.deepEqual(instances.map(instance => total(row, instance)), [7, 7, 6]);
+    t.true(Object.values(row.servers).every(server => unownedSlots(server) === 0));
+    t.snapshot(row);
+});
+
+test("a new member takes only its share; what others keep stays where it is", t => {
+    const before = settle(joined(["a", "b"]), ["a", "b"]);
+    const after = settle(joinAssignment(before, "c", "1"), instances);
+    for (const instance of ["a", "b"]) {
+        const kept = heldSlots(before, instance);
+        heldSlots(after, instance).forEach((slots, server) => t.true(slots <= (kept.get(server) ?? 0)));
+    }
+    t.is(total(after, "c"), 6);
+});
+
+test("an expelled member's slots are free but marked as not released", t => {
+    const before = settle(joined(["a", "b"]), ["a", "b"]);
+    const after = expelMember(before, "a");
+    const unreleased = Object.values(after.servers).reduce((sum, server) => sum + server.unreleasedSlots, 0);
+    t.is(unreleased, 10);
+    t.deepEqual(after.members.map(member => member.instance), ["b"]);
+});
+
+test("a member that leaves by itself leaves nothing unreleased", t => {
+    const after = leaveAssignment(settle(joined(["a", "b"]), ["a", "b"]), "a");
+    t.true(Object.values(after.servers).every(server => server.unreleasedSlots === 0));
+});
+
+test("a new incarnation does not keep what the earlier one held", t => {
+    const after = joinAssignment(settle(joined(["a", "b"]), ["a", "b"]), "a", "2");
+    t.is(total(after, "a"), 0);
+});
+
+test("a leaving server is released and not claimed again", t => {
+    const row = settle(joined(["a"]), ["a"]);
+    const plan = planOwnership(row, "a", server => server !== "s1");
+    t.deepEqual(plan, { release: [{ server: "s1", slots: 4 }], claim: [] });
+});
+
+const step = fc.record({
+    kind: fc.constantFrom("join", "leave", "suspect", "refute", "expel", "plan", "list"),
+    instance: fc.constantFrom(...instances),
+    number: fc.integer({ min: 1, max: 5 })
+});
+
+function applyStep(row: AssignmentRow, kind: string, instance: string, number: number): AssignmentRow {
+    const plan = planOwnership(row, instance, () => true);
+    switch (kind) {
+        case "join":
+            return joinAssignment(row, instance, String(number));
+        case "leave":
+            return leaveAssignment(row, instance);
+        case "suspect":
+            return suspectMember(row, instance, "x");
+        case "refute":
+            return refuteSuspicion(row, instance);
+        case "expel":
+            return expelMember(row, instance);
+        case "list":
+            return reconcileServers(row, servers.slice(0, number));
+        default:
+            return claimSlots(releaseSlots(row, instance, plan.release), instance, plan.claim);
+    }
+}
+
+test("no order of changes ever gives a server more owners than slots", t => {
+    fc.assert(
+        fc.property(fc.array(step, { maxLength: 60 }), steps => {
+            let row: AssignmentRow = emptyAssignment;
+            for (const { kind, instance, number } of steps) {
+                row = applyStep(row, kind, instance, number);
+                Object.values(row.servers).forEach(server => {
+                    if (unownedSlots(server) < 0 || server.holds.some(hold => hold.slots <= 0)) {
+                        throw new Error("more slots owned than there are");
+                    }
+                });
+            }
+        }),
+        { seed: 11, numRuns: 400 }
+    );
+    t.pass();
+});
--- /dev/null
+++ b/packages/endivebridge-core/src/__tests__/unit/EndivebridgeJournal.test.ts
@@ -0,0 +1,67 @@
+import test from "ava";
+import { makeJournal, type OperationId, steeringError } from "../../index";
+
+const id: OperationId = { instance: "a", incarnation: "1", mintEpoch: 0, random: "r", counter: "1" };
+
+function makeAt(time: { nowMillis: number; }, capacity = 10) {
+    return makeJournal<string>({
+        nowMillis: () => time.nowMillis,
+        mintEpochMillis: 1_000,
+        memoryMillis: 3_000,
+        capacity
+    });
+}
+
+test("a resend of a finished operation gets the first run's answer", t => {
+    const journal = makeAt({ nowMillis: 0 });
+    const first = journal.begin("a.1.0.r.1", id, "f");
+    t.is(first.kind, "run");
+    if (first.kind === "run") {
+        first.finish({ kind: "answer", answer: "done" }, true);
+    }
+    t.deepEqual(journal.begin("a.1.0.r.1", id, "f"), { kind: "done", outcome: { kind: "answer", answer: "done" } });
+});
+
+test("a resend of a running operation joins it", t => {
+    const journal = makeAt({ nowMillis: 0 });
+    journal.begin("a.1.0.r.1", id, "f");
+    t.is(journal.begin("a.1.0.r.1", id, "f").kind, "join");
+});
+
+test("another body under the same id is refused", t => {
+    const journal = makeAt({ nowMillis: 0 });
+    journal.begin("a.1.0.r.1", id, "f");
+    t.deepEqual(journal.begin("a.1.0.r.1", id, "g"), { kind: "refused", error: steeringError("operationMismatch") });
+});
+
+test("an operation that did not run may run on a resend", t => {
+    const journal = makeAt({ nowMillis: 0 });
+    const first = journal.begin("a.1.0.r.1", id, "f");
+    if (first.kind === "run") {
+        first.finish({ kind: "error", error: steeringError("overloaded") }, false);
+    }
+    t.is(journal.begin("a.1.0.r.1", id, "f").kind, "run");
+});
+
+test("an id older than the memory is refused as maybe run, never run as new", t => {
+    const time = { nowMillis: 0 };
+    const journal = makeAt(time);
+    const first = journal.begin("a.1.0.r.1", id, "f");
+    if (first.kind === "run") {
+        first.finish({ kind: "answer", answer: "done" }, true);
+    }
+    time.nowMillis = 3_999;
+    journal.forgetOld();
+    t.is(journal.begin("a.1.0.r.1", id, "f").kind, "done");
+    time.nowMillis = 4_000;
+    journal.forgetOld();
+    t.is(journal.size(), 0);
+    t.deepEqual(journal.begin("a.1.0.r.1", id, "f"), { kind: "refused", error: steeringError("operationExpired") });
+});
+
+test("a full journal refuses new operations as not run and forgets no young one", t => {
+    const journal = makeAt({ nowMillis: 0 }, 1);
+    journal.begin("a.1.0.r.1", id, "f");
+    t.deepEqual(journal.begin("a.1.0.r.2", id, "f"), { kind: "refused", error: steeringError("journalFull") });
+    t.is(journal.begin("a.1.0.r.1", id, "f").kind, "join");
+});
--- /dev/null
+++ b/packages/endivebridge-core/src/__tests__/unit/EndivebridgeLease.test.ts
@@ -0,0 +1,53 @@
+import test from "ava";
+import { makeLease } from "../../index";
+
+const leaseMillis = 1_000;
+const alone = { siblings: [] as string[], isUnreachable: () => false };
+
+test("a lease confirmed by the row lapses by itself, as it must for a paused holder", t => {
+    const lease = makeLease(leaseMillis);
+    t.false(lease.holds(0));
+    lease.confirmByRow(100);
+    t.true(lease.holds(1_099));
+    t.false(lease.holds(1_100));
+});
+
+test("with the platform down every sibling's promise is needed", t => {
+    const lease = makeLease(leaseMillis);
+    lease.confirmBySibling("b", 500, leaseMillis);
+    const evidence = {
+        nowMillis: 600,
+        siblings: ["b", "c"],
+        platformFailedSinceMillis: 550,
+        isUnreachable: () => false
+    };
+    lease.evaluate(evidence);
+    t.false(lease.holds(600));
+    lease.confirmBySibling("c", 520, leaseMillis);
+    lease.evaluate(evidence);
+    t.true(lease.holds(1_499));
+    t.false(lease.holds(1_500));
+});
+
+test("promises carry nothing while the platform answers: the row decides", t => {
+    const lease = makeLease(leaseMillis);
+    lease.confirmBySibling("b", 500, leaseMillis);
+    lease.evaluate({ ...alone, nowMillis: 600, siblings: ["b"], platformFailedSinceMillis: undefined });
+    t.false(lease.holds(600));
+});
+
+test("an instance that reaches neither platform nor siblings goes on, but only from an attempt made after it woke", t => {
+    const lease = makeLease(leaseMillis);
+    lease.evaluate({ nowMillis: 5_000, siblings: ["b"], platformFailedSinceMillis: 3_000, isUnreachable: () => true });
+    t.false(lease.holds(5_000));
+    lease.evaluate({ nowMillis: 5_100, siblings: ["b"], platformFailedSinceMillis: 5_050, isUnreachable: () => true });
+    t.true(lease.holds(5_100));
+});
+
+test("a revoked lease forgets promises", t => {
+    const lease = makeLease(leaseMillis);
+    lease.confirmBySibling("b", 500, leaseMillis);
+    lease.revoke();
+    lease.evaluate({ ...alone, nowMillis: 600, siblings: ["b"], platformFailedSinceMillis: 590 });
+    t.false(lease.holds(600));
+});
--- /dev/null
+++ b/packages/endivebridge-core/src/__tests__/unit/EndivebridgeSlots.test.ts
@@ -0,0 +1,77 @@
+import test from "ava";
+import { makeSlotPool, pickLeastCost, type WaitOutcome } from "../../index";
+
+const none: ReadonlySet<string> = new Set();
+
+function makePool(allowed = { dispatch: true }) {
+    return makeSlotPool({ pickServer: pickLeastCost, mayDispatch: () => allowed.dispatch, nowMillis: () => 0 });
+}
+
+function owned(server: string, usableSlots: number, leaving = false) {
+    return { server, address: "127.0.0.1:1", usableSlots, leaving };
+}
+
+test("no more requests hold slots than are owned", t => {
+    const pool = makePool();
+    pool.assign([owned("s1", 2), owned("s2", 1)]);
+    const held = [1, 2, 3].map(() => pool.tryAcquire(none));
+    t.true(held.every(slot => slot !== undefined));
+    t.is(pool.tryAcquire(none), undefined);
+    held[0]!.release();
+    held[0]!.release();
+    t.not(pool.tryAcquire(none), undefined);
+    t.is(pool.tryAcquire(none), undefined);
+});
+
+test("a freed slot goes to the waiter that has waited longest", t => {
+    const pool = makePool();
+    pool.assign([owned("s1", 1)]);
+    const held = pool.tryAcquire(none)!;
+    const order: string[] = [];
+    const note = (name: string) => (outcome: WaitOutcome) => order.push(`${name} ${outcome.kind}`);
+    pool.wait(none, note("first"));
+    pool.wait(none, note("second"));
+    held.release();
+    t.deepEqual(order, ["first slot"]);
+    t.is(pool.waiting(), 1);
+});
+
+test("nothing is dispatched while the lease is not held, and waiters go on when it is again", t => {
+    const allowed = { dispatch: false };
+    const pool = makePool(allowed);
+    pool.assign([owned("s1", 1)]);
+    const outcomes: string[] = [];
+    pool.wait(none, outcome => outcomes.push(outcome.kind));
+    t.is(pool.tryAcquire(none), undefined);
+    t.is(pool.freeSlots(), 0);
+    allowed.dispatch = true;
+    pool.wake();
+    t.deepEqual(outcomes, ["slot"]);
+});
+
+test("a server that was taken away gets nothing new, also when its requests end", t => {
+    const pool = makePool();
+    pool.assign([owned("s1", 1)]);
+    const held = pool.tryAcquire(none)!;
+    pool.assign([]);
+    held.release();
+    t.is(pool.tryAcquire(none), undefined);
+});
+
+test("a leaving server gets nothing new", t => {
+    const pool = makePool();
+    pool.assign([owned("s1", 1, true)]);
+    t.is(pool.tryAcquire(none), undefined);
+    t.is(pool.freeSlots(), 0);
+});
+
+test("a waiter that excludes the only free server does not hold up those behind it", t => {
+    const pool = makePool();
+    pool.assign([owned("s1", 1)]);
+    const held = pool.tryAcquire(none)!;
+    const outcomes: string[] = [];
+    pool.wait(new Set(["s1"]), () => outcomes.push("excluding"));
+    pool.wait(none, () => outcomes.push("ordinary"));
+    held.release();
+    t.deepEqual(outcomes, ["ordinary"]);
+});
--- a/packages/endivebridge-core/src/index.ts
+++ b/packages/endivebridge-core/src/index.ts
@@ -1,4 +1,12 @@
-export { expectedWaitMillis, makeSecondWindow, makeShareBudget, mayWait, type QueueLoad, type SecondWindow, type ShareBudget } from "./EndivebridgeAdmission";
+export {
+    expectedWaitMillis,
+    makeSecondWindow,
+    makeShareBudget,
+    mayWait,
+    type QueueLoad,
+    type SecondWindow,
+    type ShareBudget
+} from "./EndivebridgeAdmission";
 export {
     type AssignedServer,
     Assignment,
@@ -21,11 +29,33 @@
     unownedSlots
 } from "./EndivebridgeAssignment";
 export { type ClientBlock, type ClientBlocks, makeClientBlocks, parseAddress } from "./EndivebridgeClientBlocks";
-export { type ErrorAnswer, errorAnswers, type ErrorKind, parseErrorKind, type Ran, type SteeringError, steeringError } from "./EndivebridgeErrors";
-export { type Journal, type JournalOptions, makeJournal, type OperationEntry, type OperationOutcome } from "./EndivebridgeJournal";
+export {
+    type ErrorAnswer,
+    errorAnswers,
+    type ErrorKind,
+    parseErrorKind,
+    type Ran,
+    type SteeringError,
+    steeringError
+} from "./EndivebridgeErrors";
+export {
+    type Journal,
+    type JournalOptions,
+    makeJournal,
+    type OperationEntry,
+    type OperationOutcome
+} from "./EndivebridgeJournal";
 export { makeServerLatency, medianLatencyMillis, recordLatency, type ServerLatency } from "./EndivebridgeLatency";
 export { type Lease, type LeaseEvidence, makeLease } from "./EndivebridgeLease";
 export { type Hash, type LookupCandidate, type LookupQuestion, orderInstances } from "./EndivebridgeLookup";
 export { formatOperationPrefix, type OperationId, parseOperationId } from "./EndivebridgeOperation";
-export { type HeldSlot, makeSlotPool, type OwnedServer, type OwnedSlots, type SlotPool, type SlotPoolOptions, type WaitOutcome } from "./EndivebridgeSlots";
+export {
+    type HeldSlot,
+    makeSlotPool,
+    type OwnedServer,
+    type OwnedSlots,
+    type SlotPool,
+    type SlotPoolOptions,
+    type WaitOutcome
+} from "./EndivebridgeSlots";
 export { pickLeastCost, type ServerPicker } from "./EndivebridgeSteering";
--- a/packages/endivebridge-daemon/src/CallerRequest.ts
+++ b/packages/endivebridge-daemon/src/CallerRequest.ts
@@ -93,7 +93,11 @@
     return Effect.succeed(Math.min(Number(text), definition.maximumDeadlineMillis));
 }
 
-function readBody(incoming: IncomingMessage, head: RequestHead, mostBytes: number): Effect.Effect<Buffer, SteeringError> {
+function readBody(
+    incoming: IncomingMessage,
+    head: RequestHead,
+    mostBytes: number
+): Effect.Effect<Buffer, SteeringError> {
     if (Number(head.contentLength ?? 0) > mostBytes) {
         return refuse("bodyTooLarge", `at most ${mostBytes} bytes`);
     }
--- a/packages/endivebridge-daemon/src/CallerServer.ts
+++ b/packages/endivebridge-daemon/src/CallerServer.ts
@@ -1,4 +1,4 @@
-import { steeringError } from "@endivebridge/core";
+import { errorAnswers, steeringError } from "@endivebridge/core";
 import { Effect, Fiber, Queue, Result } from "effect";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
@@ -58,7 +58,11 @@
             Effect.flatMap(readCallerRequest(context, incoming, request), read => serveRequest(context, read))
         );
         if (Result.isFailure(result)) {
-            context.metrics.count("errors", { kind: result.failure.kind });
+            const { kind, detail } = result.failure;
+            context.metrics.count("errors", { kind });
+            if (errorAnswers[kind].ran !== "no") {
+                context.log.warn({ request, kind, detail, target: incoming.url }, "request in doubt");
+            }
             return errorAnswer(result.failure, request);
         }
         context.metrics.count("answers");
@@ -68,11 +72,14 @@
 
 const serveExchange = (context: Context, exchange: Exchange, request: string): Effect.Effect<void> =>
     Effect.gen(function*() {
-        const answer = yield* Effect.catchCause(answerExchange(context, exchange.incoming, request), cause =>
-            Effect.sync(() => {
-                context.log.error({ request, cause: String(cause) }, "request failed unexpectedly");
-                return errorAnswer(steeringError("internal"), request);
-            }));
+        const answer = yield* Effect.catchCause(
+            answerExchange(context, exchange.incoming, request),
+            cause =>
+                Effect.sync(() => {
+                    context.log.error({ request, cause: String(cause) }, "request failed unexpectedly");
+                    return errorAnswer(steeringError("internal"), request);
+                })
+        );
         if (context.shutdown.read() || !exchange.incoming.complete) {
             exchange.response.setHeader("Connection", "close");
         }
@@ -123,9 +130,12 @@
         }
         Queue.offerUnsafe(inbox, { incoming, response });
     });
-    server.on("clientError", (_error, socket) => {
+    server.on("clientError", (error, socket) => {
+        context.log.debug({ code: error.message }, "request that cannot be read");
         if (socket.writable) {
-            socket.end("HTTP/1.1 400 Bad Request\r\nEndivebridge-Error: badRequest\r\nEndivebridge-Ran: no\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+            socket.end(
+                "HTTP/1.1 400 Bad Request\r\nEndivebridge-Error: badRequest\r\nEndivebridge-Ran: no\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+            );
         }
         else {
             socket.destroy();
--- a/packages/endivebridge-daemon/src/ConfigurationTask.ts
+++ b/packages/endivebridge-daemon/src/ConfigurationTask.ts
@@ -51,7 +51,7 @@
 
 /** Text of the document in a configuration row. */
 export function rowText(value: unknown): string {
-    return (value as { readonly text: string }).text;
+    return (value as { readonly text: string; }).text;
 }
 
 /** Looks for newer accepted configurations until interrupted. */
--- a/packages/endivebridge-daemon/src/Context.ts
+++ b/packages/endivebridge-daemon/src/Context.ts
@@ -1,4 +1,12 @@
-import type { AssignmentRow, ClientBlocks, Journal, Lease, SecondWindow, ShareBudget, SlotPool } from "@endivebridge/core";
+import type {
+    AssignmentRow,
+    ClientBlocks,
+    Journal,
+    Lease,
+    SecondWindow,
+    ShareBudget,
+    SlotPool
+} from "@endivebridge/core";
 import type { ListedBackendServer, ListedEntryInstance, PlatformClient } from "@endivebridge/platform";
 import type { ConfigurationDocument, InstanceSettings } from "@endivebridge/settings";
 import type { State } from "@endivebridge/shared";
--- a/packages/endivebridge-daemon/src/Daemon.ts
+++ b/packages/endivebridge-daemon/src/Daemon.ts
@@ -1,4 +1,12 @@
-import { makeClientBlocks, makeJournal, makeLease, makeSecondWindow, makeShareBudget, makeSlotPool, pickLeastCost } from "@endivebridge/core";
+import {
+    makeClientBlocks,
+    makeJournal,
+    makeLease,
+    makeSecondWindow,
+    makeShareBudget,
+    makeSlotPool,
+    pickLeastCost
+} from "@endivebridge/core";
 import { makePlatformClient } from "@endivebridge/platform";
 import type { InstanceSettings } from "@endivebridge/settings";
 import { makeState, mergeTeardowns, monotonicMillis } from "@endivebridge/shared";
--- a/packages/endivebridge-daemon/src/ForwardRequest.ts
+++ b/packages/endivebridge-daemon/src/ForwardRequest.ts
@@ -1,5 +1,5 @@
-import { Code, ConnectError } from "@connectrpc/connect";
 import { create } from "@bufbuild/protobuf";
+import { Code, ConnectError } from "@connectrpc/connect";
 import { errorAnswers, type ErrorKind, parseErrorKind, type Ran } from "@endivebridge/core";
 import { type ForwardRequest, ForwardRequestSchema, type ForwardResponse } from "@endivebridge/protocol";
 import { monotonicMillis } from "@endivebridge/shared";
--- a/packages/endivebridge-daemon/src/Heartbeat.ts
+++ b/packages/endivebridge-daemon/src/Heartbeat.ts
@@ -24,7 +24,10 @@
 }
 
 /** Takes in what a peer said of itself, whichever side of the heartbeat it came from. */
-export function notePeer(peer: Peer, said: Pick<HeartbeatRequest, "incarnation" | "configurationVersion" | "mintEpoch">): void {
+export function notePeer(
+    peer: Peer,
+    said: Pick<HeartbeatRequest, "incarnation" | "configurationVersion" | "mintEpoch">
+): void {
     peer.incarnation = said.incarnation;
     peer.configurationVersion = said.configurationVersion;
     peer.mintEpoch = said.mintEpoch;
--- a/packages/endivebridge-daemon/src/Inflow.ts
+++ b/packages/endivebridge-daemon/src/Inflow.ts
@@ -10,7 +10,9 @@
     if (region === undefined || cap === undefined) {
         return undefined;
     }
-    const assigned = Object.values(context.assignment.read()?.row.servers ?? {}).filter(each => each.service === service);
+    const assigned = Object.values(context.assignment.read()?.row.servers ?? {}).filter(each =>
+        each.service === service
+    );
     const domainSlots = assigned.reduce((sum, server) => sum + server.slots, 0);
     const ownedSlots = context.services.get(service)?.pool.usableSlots() ?? 0;
     return domainSlots === 0 ? 0 : Math.floor((cap / region.failureDomains.length) * (ownedSlots / domainSlots));
--- a/packages/endivebridge-daemon/src/Lookup.ts
+++ b/packages/endivebridge-daemon/src/Lookup.ts
@@ -1,4 +1,10 @@
-import { formatOperationPrefix, type LookupCandidate, orderInstances, type SteeringError, steeringError } from "@endivebridge/core";
+import {
+    formatOperationPrefix,
+    type LookupCandidate,
+    orderInstances,
+    type SteeringError,
+    steeringError
+} from "@endivebridge/core";
 import { Effect } from "effect";
 import { randomBytes } from "node:crypto";
 import xxhash from "xxhash-wasm";
--- a/packages/endivebridge-daemon/src/Operations.ts
+++ b/packages/endivebridge-daemon/src/Operations.ts
@@ -124,7 +124,12 @@
         const result = yield* Effect.result(run());
         const outcome = toOutcome(result);
         const stored = outcome.kind === "answer"
-            ? { ...begun, status: outcome.answer.status, headers: outcome.answer.headers, body: outcome.answer.body.toString("base64") }
+            ? {
+                ...begun,
+                status: outcome.answer.status,
+                headers: outcome.answer.headers,
+                body: outcome.answer.body.toString("base64")
+            }
             : { ...begun, error: outcome.error.kind };
         context.fork(Effect.ignore(context.platform.writeRow(row, inserted.success.version, stored)));
         return yield* outcomeEffect(outcome);
--- a/packages/endivebridge-daemon/src/OwnershipTask.ts
+++ b/packages/endivebridge-daemon/src/OwnershipTask.ts
@@ -170,7 +170,11 @@
             return true;
         }
         if (written.failure.kind === "conflict" && written.failure.row !== undefined) {
-            adopt(context, { version: written.failure.row.version, row: decodeRow(written.failure.row.value) }, sentAtMillis);
+            adopt(
+                context,
+                { version: written.failure.row.version, row: decodeRow(written.failure.row.value) },
+                sentAtMillis
+            );
         }
         return false;
     });
--- a/packages/endivebridge-daemon/src/Peer.ts
+++ b/packages/endivebridge-daemon/src/Peer.ts
@@ -1,5 +1,5 @@
-import type { PeerService } from "@endivebridge/protocol";
 import type { Client } from "@connectrpc/connect";
+import type { PeerService } from "@endivebridge/protocol";
 
 /** What a peer last said of one service. */
 export interface PeerLoad {
--- a/packages/endivebridge-daemon/src/PeerServer.ts
+++ b/packages/endivebridge-daemon/src/PeerServer.ts
@@ -1,6 +1,6 @@
+import { create } from "@bufbuild/protobuf";
 import { Code, ConnectError, type ConnectRouter, type Interceptor } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
-import { create } from "@bufbuild/protobuf";
 import { type SteeringError, steeringError } from "@endivebridge/core";
 import { type ForwardRequest, type ForwardResponse, ForwardResponseSchema, PeerService } from "@endivebridge/protocol";
 import { monotonicMillis } from "@endivebridge/shared";
@@ -72,7 +72,9 @@
     const effect = service === undefined
         ? Effect.fail(steeringError("noServers"))
         : runRequest(context, service, request);
-    return Effect.runPromise(Effect.result(effect), { signal: request.idempotent ? signal : undefined }).then(encodeAnswer);
+    return Effect.runPromise(Effect.result(effect), { signal: request.idempotent ? signal : undefined }).then(
+        encodeAnswer
+    );
 }
 
 function serveOperation(context: Context, message: ForwardRequest): Promise<ForwardResponse> {
--- a/packages/endivebridge-daemon/src/PlaceRequest.ts
+++ b/packages/endivebridge-daemon/src/PlaceRequest.ts
@@ -11,15 +11,15 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import { Effect, Result } from "effect";
 import type { Context, ServiceState } from "./Context";
+import { forwardRequest } from "./ForwardRequest";
 import { admitInflow } from "./Inflow";
 import type { Peer } from "./Peer";
-import { forwardRequest } from "./ForwardRequest";
 import type { Answer, SteeringRequest } from "./SteeringRequest";
 
 /** Where a request found its place: an own slot, or a peer that already ran it. */
 export type Placement =
-    | { readonly kind: "slot"; readonly slot: HeldSlot }
-    | { readonly kind: "answered"; readonly answer: Answer };
+    | { readonly kind: "slot"; readonly slot: HeldSlot; }
+    | { readonly kind: "answered"; readonly answer: Answer; };
 
 /** Whether any attempt at a request so far may have run. */
 export interface Doubt {
@@ -70,30 +70,29 @@
     request: SteeringRequest,
     tried: Set<string>,
     doubt: Doubt
-) =>
-    Effect.gen(function*() {
-        const peers = peersWithFreeSlots(context, service.service).filter(peer => !tried.has(peer.instance));
-        for (const peer of peers.slice(0, peersTriedAtOnce)) {
-            tried.add(peer.instance);
-            const load = peer.loads.get(service.service);
-            if (load !== undefined) {
-                load.freeSlots -= 1;
-            }
-            context.metrics.count("forwards", { service: service.service });
-            const result = yield* Effect.result(forwardRequest(peer, request));
-            if (Result.isSuccess(result)) {
-                return result.success;
-            }
-            doubt.mayHaveRun ||= result.failure.ran !== "no";
-            if (doubt.mayHaveRun && !request.idempotent) {
-                return yield* Effect.fail(steeringError(parseErrorKind(result.failure.kind), result.failure.detail));
-            }
-            if (load !== undefined) {
-                load.freeSlots = 0;
-            }
+) => Effect.gen(function*() {
+    const peers = peersWithFreeSlots(context, service.service).filter(peer => !tried.has(peer.instance));
+    for (const peer of peers.slice(0, peersTriedAtOnce)) {
+        tried.add(peer.instance);
+        const load = peer.loads.get(service.service);
+        if (load !== undefined) {
+            load.freeSlots -= 1;
         }
-        return undefined;
-    });
+        context.metrics.count("forwards", { service: service.service });
+        const result = yield* Effect.result(forwardRequest(peer, request));
+        if (Result.isSuccess(result)) {
+            return result.success;
+        }
+        doubt.mayHaveRun ||= result.failure.ran !== "no";
+        if (doubt.mayHaveRun && !request.idempotent) {
+            return yield* Effect.fail(steeringError(parseErrorKind(result.failure.kind), result.failure.detail));
+        }
+        if (load !== undefined) {
+            load.freeSlots = 0;
+        }
+    }
+    return undefined;
+});
 
 /**
  * Finds a place for a request: an own slot, a free slot of a peer, or a wait for the first of either.
@@ -145,7 +144,7 @@
     request: SteeringRequest,
     excluded: ReadonlySet<string>,
     arrivedAtMillis: number
-): Effect.Effect<Exclude<WaitOutcome, { kind: "closed" }>, SteeringError> {
+): Effect.Effect<Exclude<WaitOutcome, { kind: "closed"; }>, SteeringError> {
     return Effect.gen(function*() {
         const nowMillis = monotonicMillis();
         const remainingMillis = request.deadlineAtMillis - nowMillis;
--- a/packages/endivebridge-daemon/src/ServeRequest.ts
+++ b/packages/endivebridge-daemon/src/ServeRequest.ts
@@ -38,7 +38,10 @@
 }
 
 /** Never says "not run" of a request of which an earlier attempt may have run. */
-function withDoubt<Value>(doubt: Doubt, effect: Effect.Effect<Value, SteeringError>): Effect.Effect<Value, SteeringError> {
+function withDoubt<Value>(
+    doubt: Doubt,
+    effect: Effect.Effect<Value, SteeringError>
+): Effect.Effect<Value, SteeringError> {
     return Effect.mapError(effect, error => {
         const saysNotRun = errorAnswers[error.kind].ran === "no";
         return doubt.mayHaveRun && saysNotRun ? steeringError("serverFailed", `then ${error.kind}`) : error;
--- a/packages/endivebridge-platform/src/PlatformClient.ts
+++ b/packages/endivebridge-platform/src/PlatformClient.ts
@@ -7,11 +7,11 @@
 /** Why the platform did not do what was asked. */
 export type PlatformFailure =
     /** No usable answer; a write may or may not have taken effect. */
-    | { readonly kind: "unavailable"; readonly detail: string }
+    | { readonly kind: "unavailable"; readonly detail: string; }
     /** Another write came first; `row` is what stands now, undefined where nothing does. */
-    | { readonly kind: "conflict"; readonly row: TableRow | undefined }
+    | { readonly kind: "conflict"; readonly row: TableRow | undefined; }
     /** The platform answered with something that is not its format. */
-    | { readonly kind: "malformed"; readonly detail: string };
+    | { readonly kind: "malformed"; readonly detail: string; };
 
 /** One row of the table service. */
 export interface TableRow {
@@ -124,8 +124,9 @@
         });
 
     const readRow = (key: string) =>
-        Effect.map(readEnvelope(key), read =>
-            read === undefined ? undefined : { key, version: read.version, value: read.envelope.value }
+        Effect.map(
+            readEnvelope(key),
+            read => read === undefined ? undefined : { key, version: read.version, value: read.envelope.value }
         );
 
     const settleConflict = (key: string, writeId: string) =>
@@ -207,8 +208,10 @@
                 return rows.map(row => ({ ...row, value: (row.value as Envelope).value }));
             }),
         readObject: key =>
-            Effect.map(call("GET", `/objects/${encodeURIComponent(key)}`), answer =>
-                answer.status === 404 ? undefined : answer.body),
+            Effect.map(
+                call("GET", `/objects/${encodeURIComponent(key)}`),
+                answer => answer.status === 404 ? undefined : answer.body
+            ),
         writeObject: (key, body) => Effect.asVoid(call("PUT", `/objects/${encodeURIComponent(key)}`, {}, body)),
         listObjects: prefix => scan(`/objects?prefix=${encodeURIComponent(prefix)}`, KeysSchema),
         listInstances: viewer => scan(`/instances?viewer=${encodeURIComponent(viewer)}`, ListedInstances),
--- a/packages/endivebridge-platform/src/index.ts
+++ b/packages/endivebridge-platform/src/index.ts
@@ -1,2 +1,13 @@
-export { type ListedBackendServer, type ListedEntryInstance, type ListedInstance, ListedInstances } from "./InstanceList";
-export { makePlatformClient, type PlatformClient, type PlatformFailure, type PlatformOptions, type TableRow } from "./PlatformClient";
+export {
+    type ListedBackendServer,
+    type ListedEntryInstance,
+    type ListedInstance,
+    ListedInstances
+} from "./InstanceList";
+export {
+    makePlatformClient,
+    type PlatformClient,
+    type PlatformFailure,
+    type PlatformOptions,
+    type TableRow
+} from "./PlatformClient";
--- a/packages/endivebridge-settings/src/ParseDocument.ts
+++ b/packages/endivebridge-settings/src/ParseDocument.ts
@@ -1,5 +1,12 @@
 import { Result, Schema, SchemaIssue } from "effect";
-import { findNodeAtLocation, getNodeValue, type Node, parseTree, type ParseError, printParseErrorCode } from "jsonc-parser";
+import {
+    findNodeAtLocation,
+    getNodeValue,
+    type Node,
+    type ParseError,
+    parseTree,
+    printParseErrorCode
+} from "jsonc-parser";
 import { type Either, Left, Right } from "purify-ts";
 import { Configuration, type ConfigurationDocument } from "./Configuration";
 import type { DocumentFault } from "./DocumentFault";
@@ -57,7 +64,9 @@
     const tree = parseTree(text, errors, { allowTrailingComma: true });
     if (tree === undefined || errors.length > 0) {
         const faults = errors.map(error => syntaxFault(text, error));
-        return Left(faults.length > 0 ? faults : [{ line: 1, path: "(document)", expected: "an object", found: "nothing" }]);
+        return Left(
+            faults.length > 0 ? faults : [{ line: 1, path: "(document)", expected: "an object", found: "nothing" }]
+        );
     }
     const decoded = Schema.decodeUnknownResult(schema)(getNodeValue(tree), {
         errors: "all",
@@ -66,7 +75,7 @@
     if (Result.isSuccess(decoded)) {
         return Right(decoded.success);
     }
-    const failure = decoded.failure as unknown as { readonly issue: SchemaIssue.Issue };
+    const failure = decoded.failure as unknown as { readonly issue: SchemaIssue.Issue; };
     const issues = formatIssue(failure.issue).issues;
     return Left(
         issues.map(issue => schemaFault(text, tree, (issue.path ?? []) as readonly (string | number)[], issue.message))
--- /dev/null
+++ b/packages/endivebridge-settings/src/__tests__/unit/ParseDocument.test.ts
@@ -0,0 +1,50 @@
+import test from "ava";
+import { readdirSync, readFileSync } from "node:fs";
+import { describeFaults, type DocumentFault, parseConfiguration, parseSettings } from "../../index";
+
+const faulty = `{
+    // no region, a wrong port, an unknown field
+    "instance": "fraser-1-a",
+    "failureDomain": "Fraser One",
+    "callers": { "host": "127.0.0.1", "port": 70000 },
+    "peers": { "host": "127.0.0.1", "port": 7001 },
+    "platform": { "url": "ftp://platform" },
+    "keys": { "operator": "short", "peer": "long-enough-peer-key" },
+    "timing": { "leaseMillis": 0 },
+    "colour": "green"
+}`;
+
+function faultsOf(text: string): string {
+    const parsed = parseSettings(text);
+    return parsed.isLeft() ? describeFaults("settings.jsonc", parsed.extract() as readonly DocumentFault[]) : "none";
+}
+
+test("every fault of a settings file is told at once with its line", t => {
+    t.snapshot(faultsOf(faulty));
+});
+
+test("broken syntax is told with its line", t => {
+    t.snapshot(faultsOf("{\n  \"instance\": \n}"));
+    t.snapshot(faultsOf(""));
+});
+
+test("the example files are good", t => {
+    const folder = new URL("../../../../../examples/", import.meta.url);
+    const names = readdirSync(folder);
+    const wrong = names.filter(name => {
+        const text = readFileSync(new URL(name, folder), "utf8");
+        const parsed = name.includes("settings") ? parseSettings(text) : parseConfiguration(text);
+        return parsed.isLeft();
+    });
+    t.deepEqual(wrong, []);
+    t.true(names.length >= 4);
+});
+
+test("a configuration's defaults are filled in", t => {
+    const parsed = parseConfiguration(`{
+        "regions": { "fraser": { "failureDomains": ["fraser-1"] } },
+        "services": { "circulation": { "idempotentRoutes": [{ "method": "GET", "pathPrefix": "/holds" }] } },
+        "clientBlocks": []
+    }`);
+    t.snapshot(parsed.unsafeCoerce());
+});
--- a/packages/endivebridge-settings/src/index.ts
+++ b/packages/endivebridge-settings/src/index.ts
@@ -1,4 +1,10 @@
-export { Configuration, type ConfigurationDocument, type Drain, type RegionDefinition, type ServiceDefinition } from "./Configuration";
+export {
+    Configuration,
+    type ConfigurationDocument,
+    type Drain,
+    type RegionDefinition,
+    type ServiceDefinition
+} from "./Configuration";
 export { describeFaults, type DocumentFault } from "./DocumentFault";
 export { parseConfiguration, parseDocument, parseSettings } from "./ParseDocument";
-export { Settings, type InstanceSettings } from "./Settings";
+export { type InstanceSettings, Settings } from "./Settings";
--- a/packages/endivebridge-standins/src/index.ts
+++ b/packages/endivebridge-standins/src/index.ts
@@ -9,5 +9,12 @@
     startBackendStandIn,
     tokenHeader
 } from "./BackendStandIn";
-export { listen, type PlatformFaults, type PlatformRecord, type PlatformStandIn, portOf, startPlatformStandIn } from "./PlatformStandIn";
+export {
+    listen,
+    type PlatformFaults,
+    type PlatformRecord,
+    type PlatformStandIn,
+    portOf,
+    startPlatformStandIn
+} from "./PlatformStandIn";
 export { type Direction, type Link, type LinkOptions, makeSharedRate, openLink, type SharedRate } from "./Proxy";
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,5 +1,6 @@
 export { type HttpAnswer, type HttpCall, httpExchange, type HttpFailure } from "./HttpExchange";
 export { invariant } from "./Invariant";
-export { monotonicMillis } from "./MonotonicMillis";
 export { mergeTeardowns, type Teardown } from "./MergeTeardowns";
+export { monotonicMillis } from "./MonotonicMillis";
+export { range } from "./Range";
 export { makeState, type State } from "./State";
