Full instances ask their region's peers first; a waiting request looks again every 25 ms

Cause: with 3 slots an instance, patron requests were refused as overloaded at half load: what peers last said was up to 1.4 s old, so free slots next door stayed unused, and the refusal made the caller wait up to 1.2 s. Ruled out: slow dispatch and silent links (no request over 700 ms inside an instance). Change: peers of the region are asked although they said they were full; answers carry the peer's load; waiters keep their place and ask again every 25 ms; refusals name 100 to 600 ms.

--- a/packages/endivebridge-core/src/EndivebridgeSlots.ts
+++ b/packages/endivebridge-core/src/EndivebridgeSlots.ts
@@ -36,6 +36,7 @@
     | { readonly kind: "closed"; };
 
 interface Waiter {
+    readonly arrivedAtMillis: number;
     readonly excluded: ReadonlySet<string>;
     readonly resume: (outcome: WaitOutcome) => void;
 }
@@ -43,8 +44,12 @@
 /** The slots of one service that this instance owns, and the requests that wait for them. */
 export interface SlotPool {
     readonly tryAcquire: (excluded: ReadonlySet<string>) => HeldSlot | undefined;
-    /** Queues a waiter; the result takes it out again. */
-    readonly wait: (excluded: ReadonlySet<string>, resume: (outcome: WaitOutcome) => void) => () => void;
+    /** Queues a waiter behind those that arrived before it; the result takes it out again. */
+    readonly wait: (
+        excluded: ReadonlySet<string>,
+        arrivedAtMillis: number,
+        resume: (outcome: WaitOutcome) => void
+    ) => () => void;
     readonly assign: (slots: readonly OwnedSlots[]) => void;
     /** Sends up to `count` waiters, oldest first, to look for slots of peers. */
     readonly sendElsewhere: (count: number) => void;
@@ -68,7 +73,7 @@
 /** Makes an empty pool. */
 export function makeSlotPool(options: SlotPoolOptions): SlotPool {
     const servers = new Map<string, OwnedServer>();
-    const waiters = new Set<Waiter>();
+    let waiters: Waiter[] = [];
 
     const tryAcquire = (excluded: ReadonlySet<string>): HeldSlot | undefined => {
         if (!options.mayDispatch()) {
@@ -90,23 +95,26 @@
         return { owned, release };
     };
 
+    const remove = (waiter: Waiter) => {
+        waiters = waiters.filter(each => each !== waiter);
+    };
+
     const wake = () => {
-        for (const waiter of waiters) {
+        for (const waiter of [...waiters]) {
             const slot = tryAcquire(waiter.excluded);
-            if (slot === undefined) {
-                if (waiter.excluded.size === 0) {
-                    return;
-                }
-                continue;
+            if (slot !== undefined) {
+                remove(waiter);
+                waiter.resume({ kind: "slot", slot });
+            }
+            else if (waiter.excluded.size === 0) {
+                return;
             }
-            waiters.delete(waiter);
-            waiter.resume({ kind: "slot", slot });
         }
     };
 
     const finishWaiters = (outcome: WaitOutcome, count: number) => {
-        for (const waiter of [...waiters].slice(0, count)) {
-            waiters.delete(waiter);
+        for (const waiter of waiters.slice(0, count)) {
+            remove(waiter);
             waiter.resume(outcome);
         }
     };
@@ -128,10 +136,11 @@
 
     return {
         tryAcquire,
-        wait: (excluded, resume) => {
-            const waiter: Waiter = { excluded, resume };
-            waiters.add(waiter);
-            return () => waiters.delete(waiter);
+        wait: (excluded, arrivedAtMillis, resume) => {
+            const waiter: Waiter = { excluded, arrivedAtMillis, resume };
+            const behind = waiters.findIndex(each => each.arrivedAtMillis > arrivedAtMillis);
+            waiters = behind < 0 ? [...waiters, waiter] : waiters.toSpliced(behind, 0, waiter);
+            return () => remove(waiter);
         },
         assign: slots => {
             const named = new Set(slots.map(each => each.server));
@@ -146,7 +155,7 @@
         },
         sendElsewhere: count => finishWaiters({ kind: "elsewhere" }, count),
         wake,
-        close: () => finishWaiters({ kind: "closed" }, waiters.size),
+        close: () => finishWaiters({ kind: "closed" }, waiters.length),
         servers: () => [...servers.values()],
         freeSlots: () => {
             let free = 0;
@@ -160,6 +169,6 @@
             servers.forEach(owned => usable += owned.usableSlots);
             return usable;
         },
-        waiting: () => waiters.size
+        waiting: () => waiters.length
     };
 }
--- a/packages/endivebridge-core/src/__tests__/unit/EndivebridgeSlots.test.ts
+++ b/packages/endivebridge-core/src/__tests__/unit/EndivebridgeSlots.test.ts
@@ -29,8 +29,8 @@
     const held = pool.tryAcquire(none)!;
     const order: string[] = [];
     const note = (name: string) => (outcome: WaitOutcome) => order.push(`${name} ${outcome.kind}`);
-    pool.wait(none, note("first"));
-    pool.wait(none, note("second"));
+    pool.wait(none, 1, note("first"));
+    pool.wait(none, 2, note("second"));
     held.release();
     t.deepEqual(order, ["first slot"]);
     t.is(pool.waiting(), 1);
@@ -41,7 +41,7 @@
     const pool = makePool(allowed);
     pool.assign([owned("s1", 1)]);
     const outcomes: string[] = [];
-    pool.wait(none, outcome => outcomes.push(outcome.kind));
+    pool.wait(none, 0, outcome => outcomes.push(outcome.kind));
     t.is(pool.tryAcquire(none), undefined);
     t.is(pool.freeSlots(), 0);
     allowed.dispatch = true;
@@ -70,8 +70,21 @@
     pool.assign([owned("s1", 1)]);
     const held = pool.tryAcquire(none)!;
     const outcomes: string[] = [];
-    pool.wait(new Set(["s1"]), () => outcomes.push("excluding"));
-    pool.wait(none, () => outcomes.push("ordinary"));
+    pool.wait(new Set(["s1"]), 0, () => outcomes.push("excluding"));
+    pool.wait(none, 1, () => outcomes.push("ordinary"));
     held.release();
     t.deepEqual(outcomes, ["ordinary"]);
 });
+
+test("a request that comes back from looking elsewhere keeps its place", t => {
+    const pool = makePool();
+    pool.assign([owned("s1", 1)]);
+    const held = pool.tryAcquire(none)!;
+    const order: string[] = [];
+    pool.wait(none, 1, outcome => order.push(`first ${outcome.kind}`));
+    pool.wait(none, 2, outcome => order.push(`second ${outcome.kind}`));
+    pool.sendElsewhere(1);
+    pool.wait(none, 1, outcome => order.push(`first ${outcome.kind}`));
+    held.release();
+    t.deepEqual(order, ["first elsewhere", "first slot"]);
+});
--- a/packages/endivebridge-daemon/src/Answers.ts
+++ b/packages/endivebridge-daemon/src/Answers.ts
@@ -4,12 +4,13 @@
 import type { Answer } from "./SteeringRequest";
 
 const retryAfterSeconds = 1;
-const retryJitterMillis = 1_000;
+const shortestRetryMillis = 100;
+const retryJitterMillis = 500;
 
 /** Makes the answer that the table of error kinds gives for an error. */
 export function errorAnswer(error: SteeringError, request: string): Answer {
     const { status, ran, retry, meaning } = errorAnswers[error.kind];
-    const retryAfterMillis = Math.round(200 + Math.random() * retryJitterMillis);
+    const retryAfterMillis = Math.round(shortestRetryMillis + Math.random() * retryJitterMillis);
     const body = Buffer.from(JSON.stringify({
         error: error.kind,
         ran,
--- a/packages/endivebridge-daemon/src/Daemon.ts
+++ b/packages/endivebridge-daemon/src/Daemon.ts
@@ -34,6 +34,7 @@
 });
 
 const journalCapacity = 200_000;
+const lookAgainMillis = 25;
 
 /** A running entry instance. */
 export interface Daemon {
@@ -103,8 +104,14 @@
         context.fork(task(context))
     );
     const memory = setInterval(() => context.journal.forgetOld(), 1_000);
+    // Waiting requests look again for a peer's free slot, the oldest first.
+    const looking = setInterval(
+        () => context.services.forEach(service => service.pool.sendElsewhere(1)),
+        lookAgainMillis
+    );
     return () => {
         clearInterval(memory);
+        clearInterval(looking);
         tasks.forEach(task => Effect.runFork(Fiber.interrupt(task)));
     };
 }
--- a/packages/endivebridge-daemon/src/ForwardRequest.ts
+++ b/packages/endivebridge-daemon/src/ForwardRequest.ts
@@ -45,12 +45,29 @@
     });
 }
 
+/** Takes in what a peer's answer says of its load. */
+function noteLoad(peer: Peer, response: ForwardResponse): void {
+    const { load } = response;
+    if (load !== undefined) {
+        peer.loads.set(load.service, {
+            freeSlots: load.freeSlots,
+            ownedSlots: load.ownedSlots,
+            waiting: load.waiting
+        });
+    }
+}
+
 /** Sends a request to a peer's free slot, once. */
 export function forwardRequest(
     peer: Peer,
     request: SteeringRequest
 ): Effect.Effect<Answer, ForwardFailure> {
-    return callPeer(signal => peer.client.forward(encodeForward(request), callOptions(request, signal)));
+    return callPeer(signal =>
+        peer.client.forward(encodeForward(request), callOptions(request, signal)).then(response => {
+            noteLoad(peer, response);
+            return response;
+        })
+    );
 }
 
 /** Hands an operation to the peer that owns it. */
--- a/packages/endivebridge-daemon/src/Heartbeat.ts
+++ b/packages/endivebridge-daemon/src/Heartbeat.ts
@@ -1,9 +1,19 @@
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
 import { type HeartbeatRequest, HeartbeatRequestSchema, type HeartbeatResponseSchema } from "@endivebridge/protocol";
 import { monotonicMillis } from "@endivebridge/shared";
-import type { Context } from "./Context";
+import type { Context, ServiceState } from "./Context";
 import type { Peer } from "./Peer";
 
+/** What this instance has free of one service. */
+export function describeLoad(service: ServiceState) {
+    return {
+        service: service.service,
+        freeSlots: service.pool.freeSlots(),
+        ownedSlots: service.pool.usableSlots(),
+        waiting: service.pool.waiting()
+    };
+}
+
 /** What this instance tells its peers of itself. */
 export function makeHeartbeat(context: Context): HeartbeatRequest {
     return create(HeartbeatRequestSchema, {
@@ -14,12 +24,7 @@
         mintEpoch: context.journal.currentEpoch(),
         leaving: context.shutdown.read(),
         assignmentVersion: context.assignment.read()?.version ?? 0,
-        loads: [...context.services.values()].map(service => ({
-            service: service.service,
-            freeSlots: service.pool.freeSlots(),
-            ownedSlots: service.pool.usableSlots(),
-            waiting: service.pool.waiting()
-        }))
+        loads: [...context.services.values()].map(describeLoad)
     });
 }
 
--- a/packages/endivebridge-daemon/src/PeerServer.ts
+++ b/packages/endivebridge-daemon/src/PeerServer.ts
@@ -6,8 +6,8 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import { Effect, Result } from "effect";
 import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
-import type { Context } from "./Context";
-import { answerHeartbeat } from "./Heartbeat";
+import type { Context, ServiceState } from "./Context";
+import { answerHeartbeat, describeLoad } from "./Heartbeat";
 import { isRightKey } from "./Keys";
 import { runOwnedOperation } from "./Operations";
 import { runRequest } from "./ServeRequest";
@@ -53,16 +53,21 @@
     };
 }
 
-async function encodeAnswer(result: Result.Result<Answer, SteeringError>): Promise<ForwardResponse> {
+async function encodeAnswer(
+    result: Result.Result<Answer, SteeringError>,
+    service: ServiceState | undefined
+): Promise<ForwardResponse> {
+    const load = service === undefined ? undefined : describeLoad(service);
     if (Result.isFailure(result)) {
-        return create(ForwardResponseSchema, { errorKind: result.failure.kind, detail: result.failure.detail });
+        return create(ForwardResponseSchema, { errorKind: result.failure.kind, detail: result.failure.detail, load });
     }
     const answer = result.success;
     return create(ForwardResponseSchema, {
         status: answer.status,
         headers: answer.headers.map(([name, value]) => ({ name, value })),
         body: await collectRest(answer),
-        server: answer.server
+        server: answer.server,
+        load
     });
 }
 
@@ -72,8 +77,8 @@
     const effect = service === undefined
         ? Effect.fail(steeringError("noServers"))
         : runRequest(context, service, request);
-    return Effect.runPromise(Effect.result(effect), { signal: request.idempotent ? signal : undefined }).then(
-        encodeAnswer
+    return Effect.runPromise(Effect.result(effect), { signal: request.idempotent ? signal : undefined }).then(result =>
+        encodeAnswer(result, service)
     );
 }
 
@@ -83,7 +88,7 @@
     const effect = service === undefined || request.operation === undefined
         ? Effect.fail(steeringError("noServers"))
         : runOwnedOperation(context, request, request.operation, () => runRequest(context, service, request));
-    return Effect.runPromise(Effect.result(effect)).then(encodeAnswer);
+    return Effect.runPromise(Effect.result(effect)).then(result => encodeAnswer(result, service));
 }
 
 function keyInterceptor(key: string): Interceptor {
--- a/packages/endivebridge-daemon/src/PlaceRequest.ts
+++ b/packages/endivebridge-daemon/src/PlaceRequest.ts
@@ -26,7 +26,8 @@
     mayHaveRun: boolean;
 }
 
-const peersTriedAtOnce = 2;
+const regionPeersTried = 3;
+const farPeersTried = 1;
 const serviceMillisBeforeSamples = 20;
 
 function refuse(kind: ErrorKind, detail: string): Effect.Effect<never, SteeringError> {
@@ -45,20 +46,31 @@
     return peer.region === context.settings.region ? 1 : 2;
 }
 
-/** Peers that may have a free slot, nearest first, those with most free slots before others. */
-export function peersWithFreeSlots(context: Context, service: string): readonly Peer[] {
-    const candidates = [...context.peers.values()].filter(peer =>
-        !peer.leaving && !peer.failing && (peer.loads.get(service)?.freeSlots ?? 0) > 0
-    );
+/**
+ * Peers that may have a free slot, nearest first. What they last said is old by up to a heartbeat: within the region
+ * a call costs little, so those that said they were full are asked too, after the others.
+ */
+export function peersToTry(context: Context, service: string): readonly Peer[] {
     const free = (peer: Peer) => peer.loads.get(service)?.freeSlots ?? 0;
-    return candidates.sort((left, right) =>
-        distance(context, left) - distance(context, right) || free(right) - free(left)
+    const usable = [...context.peers.values()].filter(peer =>
+        !peer.leaving && !peer.failing && (peer.loads.get(service)?.ownedSlots ?? 0) > 0
     );
+    const order = (left: Peer, right: Peer) =>
+        Number(free(right) > 0) - Number(free(left) > 0)
+        || distance(context, left) - distance(context, right)
+        || free(right) - free(left);
+    const near = usable.filter(peer => distance(context, peer) < 2).sort(order);
+    const far = usable.filter(peer => distance(context, peer) === 2 && free(peer) > 0).sort(order);
+    return [...near.slice(0, regionPeersTried), ...far.slice(0, farPeersTried)];
 }
 
-function waitForSlot(service: ServiceState, excluded: ReadonlySet<string>): Effect.Effect<WaitOutcome> {
+function waitForSlot(
+    service: ServiceState,
+    excluded: ReadonlySet<string>,
+    arrivedAtMillis: number
+): Effect.Effect<WaitOutcome> {
     return Effect.callback<WaitOutcome>(resume => {
-        const leave = service.pool.wait(excluded, outcome => resume(Effect.succeed(outcome)));
+        const leave = service.pool.wait(excluded, arrivedAtMillis, outcome => resume(Effect.succeed(outcome)));
         return Effect.sync(leave);
     });
 }
@@ -71,8 +83,8 @@
     tried: Set<string>,
     doubt: Doubt
 ) => Effect.gen(function*() {
-    const peers = peersWithFreeSlots(context, service.service).filter(peer => !tried.has(peer.instance));
-    for (const peer of peers.slice(0, peersTriedAtOnce)) {
+    const peers = peersToTry(context, service.service).filter(peer => !tried.has(peer.instance));
+    for (const peer of peers) {
         tried.add(peer.instance);
         const load = peer.loads.get(service.service);
         if (load !== undefined) {
@@ -84,12 +96,10 @@
             return result.success;
         }
         doubt.mayHaveRun ||= result.failure.ran !== "no";
-        if (doubt.mayHaveRun && !request.idempotent) {
+        const mayGoOn = result.failure.ran === "no" || (request.idempotent && service.retries.trySpend());
+        if (!mayGoOn) {
             return yield* Effect.fail(steeringError(parseErrorKind(result.failure.kind), result.failure.detail));
         }
-        if (load !== undefined) {
-            load.freeSlots = 0;
-        }
     }
     return undefined;
 });
@@ -157,7 +167,7 @@
         if (!mayWait(load, request.definition.queueWaitMillis - waitedMillis, remainingMillis)) {
             return yield* refuse("overloaded", "no slot will be free in time");
         }
-        const outcome = yield* Effect.timeoutOrElse(waitForSlot(service, excluded), {
+        const outcome = yield* Effect.timeoutOrElse(waitForSlot(service, excluded, arrivedAtMillis), {
             duration: Math.max(1, remainingMillis),
             orElse: () => refuse("deadlineBeforeRun", "")
         });
--- a/packages/endivebridge-settings/src/ParseDocument.ts
+++ b/packages/endivebridge-settings/src/ParseDocument.ts
@@ -50,7 +50,7 @@
     return {
         line: lineAt(text, nearestNode(tree, path).offset),
         path: path.length === 0 ? "(document)" : path.join("."),
-        expected: message.replace(/^Expected /, ""),
+        expected: message === "Missing key" ? "a value" : message.replace(/^Expected /, ""),
         found: describeFound(exact)
     };
 }
@@ -77,9 +77,10 @@
     }
     const failure = decoded.failure as unknown as { readonly issue: SchemaIssue.Issue; };
     const issues = formatIssue(failure.issue).issues;
-    return Left(
-        issues.map(issue => schemaFault(text, tree, (issue.path ?? []) as readonly (string | number)[], issue.message))
+    const faults = issues.map(issue =>
+        schemaFault(text, tree, (issue.path ?? []) as readonly (string | number)[], issue.message)
     );
+    return Left(faults.sort((left, right) => left.line - right.line));
 }
 
 /** Reads the settings file of an entry instance. */
