--- /dev/null
+++ b/packages/endivebridge-bench/src/Baseline.ts
@@ -0,0 +1,87 @@
+import { Agent, createServer, type IncomingMessage, request as openRequest, type ServerResponse } from "node:http";
+
+/** A backend server as a baseline knows it. */
+export interface BaselineServer {
+    readonly service: string;
+    readonly host: string;
+    readonly port: number;
+}
+
+/** What a baseline process is told. */
+export interface BaselinePlan {
+    readonly policy: BaselinePolicy;
+    readonly servers: readonly BaselineServer[];
+}
+
+/** Baselines that the bench compares with. */
+export type BaselinePolicy = "round-robin" | "least-in-flight";
+
+interface Target {
+    readonly server: BaselineServer;
+    inFlight: number;
+}
+
+type Choose = (targets: readonly Target[]) => Target;
+
+function makeRoundRobin(): Choose {
+    let turn = 0;
+    return targets => targets[turn++ % targets.length]!;
+}
+
+function leastInFlight(targets: readonly Target[]): Target {
+    return targets.reduce((best, target) => target.inFlight < best.inFlight ? target : best);
+}
+
+function answerLookup(response: ServerResponse, address: string): void {
+    const instances = [{ instance: "baseline", address, operationPrefix: `baseline.${Date.now()}.0.x` }];
+    const body = JSON.stringify({ instances, timeToLiveMillis: 60_000 });
+    response.writeHead(200, { "content-length": Buffer.byteLength(body) }).end(body);
+}
+
+function pass(incoming: IncomingMessage, response: ServerResponse, target: Target, path: string, agent: Agent): void {
+    const { host, port } = target.server;
+    target.inFlight += 1;
+    const outgoing = openRequest(
+        { host, port, method: incoming.method, path, headers: incoming.headers, agent },
+        answer => {
+            response.writeHead(answer.statusCode ?? 502, answer.rawHeaders);
+            answer.pipe(response);
+        }
+    );
+    outgoing.on("error", () => response.destroy());
+    outgoing.on("close", () => target.inFlight -= 1);
+    response.on("close", () => outgoing.destroy());
+    incoming.pipe(outgoing);
+}
+
+/** Serves a baseline over all servers of one region; sends its port to the parent. */
+export function serveBaseline(planText: string): void {
+    const plan = JSON.parse(planText) as BaselinePlan;
+    const agent = new Agent({ keepAlive: true });
+    const byService = new Map<string, Target[]>();
+    const choosers = new Map<string, Choose>();
+    for (const server of plan.servers) {
+        const targets = byService.get(server.service) ?? [];
+        targets.push({ server, inFlight: 0 });
+        byService.set(server.service, targets);
+        choosers.set(server.service, plan.policy === "round-robin" ? makeRoundRobin() : leastInFlight);
+    }
+    let address = "";
+    const server = createServer((incoming, response) => {
+        const url = incoming.url ?? "/";
+        if (url.startsWith("/.endivebridge/")) {
+            answerLookup(response, address);
+            return;
+        }
+        const service = url.split("/")[1] ?? "";
+        const targets = byService.get(service) ?? [];
+        pass(incoming, response, choosers.get(service)!(targets), url.slice(service.length + 1), agent);
+    });
+    server.listen(0, "127.0.0.1", () => {
+        const bound = server.address();
+        const port = typeof bound === "object" ? bound?.port ?? 0 : 0;
+        address = `127.0.0.1:${port}`;
+        process.send?.({ port });
+    });
+    process.on("disconnect", () => process.exit(0));
+}
--- a/packages/endivebridge-bench/src/CallerProcess.ts
+++ b/packages/endivebridge-bench/src/CallerProcess.ts
@@ -16,6 +16,7 @@
 import { makeRandom } from "./Random";
 
 const windowMillis = 500;
+const everything = "all";
 const microsPerMilli = 1_000;
 
 interface LabelCounts {
@@ -26,6 +27,7 @@
     readonly latency: Histogram;
     readonly wait: Histogram;
     readonly refusal: Histogram;
+    readonly firstRefusal: Histogram;
     readonly windows: Map<number, { answered: number; failed: number; readonly latency: Histogram; }>;
     readonly failedByKind: Record<string, number>;
 }
@@ -43,6 +45,7 @@
         latency: makeHistogram(),
         wait: makeHistogram(),
         refusal: makeHistogram(),
+        firstRefusal: makeHistogram(),
         windows: new Map(),
         failedByKind: {}
     };
@@ -75,6 +78,7 @@
         latency: percentiles(counts.latency),
         wait: percentiles(counts.wait),
         refusal: percentiles(counts.refusal),
+        firstRefusal: percentiles(counts.firstRefusal),
         windows,
         failedByKind: counts.failedByKind
     };
@@ -86,7 +90,7 @@
         const routes = plan.routes[region] ?? {};
         const callers = range(plan.callersPerRegion).map(index =>
             makeCaller({
-                entryAddresses: plan.entryAddresses,
+                entryAddresses: plan.entryAddresses[region] ?? [],
                 localAddress: `${plan.networks[region]}.${index % 250}.${2 + Math.floor(index / 250)}`,
                 connectAddress: address => routes[address] ?? address
             })
@@ -126,9 +130,13 @@
         return known;
     };
 
-    const noteFailure = (count: LabelCounts, failure: CallerFailure, token: string, tookMillis: number) => {
-        count.failed += 1;
+    const noteNotRun = (failure: CallerFailure, token: string) => {
         failed += 1;
+        failure.attemptsNotRun.forEach(attempt => toldNotRun.push(`${token}#${attempt}`));
+    };
+
+    const noteFailure = (count: LabelCounts, failure: CallerFailure, tookMillis: number) => {
+        count.failed += 1;
         windowOf(count, performance.now()).failed += 1;
         count.failedByKind[failure.kind] = (count.failedByKind[failure.kind] ?? 0) + 1;
         if (failure.ran !== "no") {
@@ -137,16 +145,27 @@
         else {
             recordMillis(count.refusal, tookMillis);
         }
-        failure.attemptsNotRun.forEach(attempt => toldNotRun.push(`${token}#${attempt}`));
+    };
+
+    const noteAnswer = (count: LabelCounts, sentMillis: number, nowMillis: number, serviceMillis: number) => {
+        count.answered += 1;
+        const window = windowOf(count, nowMillis);
+        window.answered += 1;
+        if (sentMillis - startMillis >= plan.warmUpSeconds * 1_000) {
+            const tookMillis = nowMillis - sentMillis;
+            recordMillis(count.latency, tookMillis);
+            recordMillis(count.wait, tookMillis - serviceMillis);
+            recordMillis(window.latency, tookMillis);
+        }
     };
 
     const sendOne = async (stream: LoadStream, caller: Caller): Promise<void> => {
         serial += 1;
         const token = `${stream.label}-${plan.seed}-${startedAtMillis}-${serial}`;
-        const count = countsOf(stream.label);
+        const both = [countsOf(everything), countsOf(stream.label)];
         const separator = stream.path.includes("?") ? "&" : "?";
         const sentMillis = performance.now();
-        count.sent += 1;
+        both.forEach(count => count.sent += 1);
         operations += stream.idempotent ? 0 : 1;
         const result = await Effect.runPromise(Effect.result(caller.send({
             service: stream.service,
@@ -155,11 +174,13 @@
             headers: attempt => ({ [tokenHeader]: `${token}#${attempt}`, [callerRegionHeader]: stream.region }),
             body: stream.idempotent ? undefined : token,
             idempotent: stream.idempotent,
+            onRefusal: tookMillis => both.forEach(count => recordMillis(count.firstRefusal, tookMillis)),
             deadlineMillis: stream.deadlineMillis
         })));
         const nowMillis = performance.now();
         if (Result.isFailure(result)) {
-            noteFailure(count, result.failure, token, nowMillis - sentMillis);
+            noteNotRun(result.failure, token);
+            both.forEach(count => noteFailure(count, result.failure, nowMillis - sentMillis));
             return;
         }
         const { answer, attempts } = result.success;
@@ -169,14 +190,8 @@
             wrongAnswers += 1;
         }
         answered += 1;
-        count.answered += 1;
-        if (sentMillis - startMillis >= plan.warmUpSeconds * 1_000) {
-            const tookMillis = nowMillis - sentMillis;
-            recordMillis(count.latency, tookMillis);
-            recordMillis(count.wait, tookMillis - Number(answer.headers[serviceMillisHeader] ?? 0));
-            recordMillis(windowOf(count, nowMillis).latency, tookMillis);
-        }
-        windowOf(count, nowMillis).answered += 1;
+        const serviceMillis = Number(answer.headers[serviceMillisHeader] ?? 0);
+        both.forEach(count => noteAnswer(count, sentMillis, nowMillis, serviceMillis));
     };
 
     const arrive = async (stream: LoadStream): Promise<void> => {
--- a/packages/endivebridge-bench/src/Demo.ts
+++ b/packages/endivebridge-bench/src/Demo.ts
@@ -1,5 +1,5 @@
 import { deploymentNamed } from "./Deployment";
-import type { LoadResult } from "./LoadPlan";
+import { labelNamed, type LoadResult } from "./LoadPlan";
 import { countSafety, isSafe } from "./Safety";
 import { usualStreams } from "./Streams";
 import { operatorKey, startWorld, type World } from "./World";
@@ -16,10 +16,6 @@
 const serviceMillis = 100;
 const load = 0.5;
 
-function sum(values: readonly number[]): number {
-    return values.reduce((total, value) => total + value, 0);
-}
-
 function requestsPerRegion(world: World): Record<string, number> {
     const perRegion: Record<string, number> = {};
     for (const record of world.records()) {
@@ -39,7 +35,7 @@
         const times = [p50Millis, p99Millis, p999Millis].map(value => value.toFixed(1).padStart(9)).join("");
         console.log(`${label.label.padEnd(24)}${numbers} ${times}`);
     }
-    const kinds = result.labels.flatMap(label => Object.entries(label.failedByKind));
+    const kinds = Object.entries(labelNamed(result, "all").failedByKind);
     console.log(`\nerrors by kind: ${kinds.map(([kind, count]) => `${kind} ${count}`).join(", ") || "none"}`);
     const busiest = [...world.records()].sort((left, right) =>
         right.mostInFlight / right.slots - left.mostInFlight / left.slots
@@ -75,6 +71,7 @@
             seconds: options.seconds,
             onProgress: (answered, failed) => console.log(`answered ${answered}, failed ${failed}`)
         });
+        const everything = labelNamed(result, "all");
         const safety = countSafety(world.records(), result);
         printTable(world, result, { ...safety });
         if (options.stay) {
@@ -85,11 +82,11 @@
                 deployment: deployment.name,
                 entryInstances: world.instances.length,
                 regions: requestsPerRegion(world),
-                answered: sum(result.labels.map(label => label.answered)),
-                failed: sum(result.labels.map(label => label.failed)),
+                answered: everything.answered,
+                failed: everything.failed,
                 ...safety,
-                p50Millis: Math.max(...result.labels.map(label => label.latency.p50Millis)),
-                p99Millis: Math.max(...result.labels.map(label => label.latency.p99Millis)),
+                p50Millis: everything.latency.p50Millis,
+                p99Millis: everything.latency.p99Millis,
                 labels: result.labels.map(label => ({ ...label, windows: undefined }))
             }));
         }
--- a/packages/endivebridge-bench/src/LoadPlan.ts
+++ b/packages/endivebridge-bench/src/LoadPlan.ts
@@ -1,3 +1,5 @@
+import { invariant } from "@endivebridge/shared";
+
 /** One stream of requests with Poisson arrivals. */
 export interface LoadStream {
     readonly region: string;
@@ -23,14 +25,13 @@
     /** Time over which the rate grows from a tenth to the whole, so that processes just started can warm up. */
     readonly rampSeconds: number;
     readonly streams: readonly LoadStream[];
-    readonly entryAddresses: readonly string[];
+    /** Entry instances that callers know at first, by region. */
+    readonly entryAddresses: Readonly<Record<string, readonly string[]>>;
     /** Address to connect to, by region and address. */
     readonly routes: Readonly<Record<string, Readonly<Record<string, string>>>>;
     /** First two numbers of the callers' addresses, by region. */
     readonly networks: Readonly<Record<string, string>>;
     readonly callersPerRegion: number;
-    /** Sends straight to these addresses in turn, without look-ups; for baselines. */
-    readonly direct: boolean;
 }
 
 /** Latencies in milliseconds. */
@@ -58,14 +59,17 @@
     readonly latency: Percentiles;
     /** Latency beyond the server's own service time. */
     readonly wait: Percentiles;
-    /** Time until a refusal as not run. */
+    /** Time until a caller gave up on a request that did not run. */
     readonly refusal: Percentiles;
+    /** Time of the attempts that were refused as not run. */
+    readonly firstRefusal: Percentiles;
     readonly windows: readonly LoadWindow[];
     readonly failedByKind: Readonly<Record<string, number>>;
 }
 
 /** What all callers saw. */
 export interface LoadResult {
+    /** Results by label; the first, `all`, holds every stream. */
     readonly labels: readonly LabelResult[];
     readonly wrongAnswers: number;
     /** Tokens of attempts that callers were told did not run. */
@@ -82,3 +86,10 @@
 export type FromCallers =
     | { readonly kind: "progress"; readonly answered: number; readonly failed: number; }
     | { readonly kind: "done"; readonly result: LoadResult; };
+
+/** Result of one label. */
+export function labelNamed(result: LoadResult, label: string): LabelResult {
+    const found = result.labels.find(each => each.label === label);
+    invariant(found !== undefined, `no calls of label ${label}`);
+    return found;
+}
--- /dev/null
+++ b/packages/endivebridge-bench/src/RunBaseline.ts
@@ -0,0 +1,40 @@
+import { fork } from "node:child_process";
+import type { BaselinePlan, BaselinePolicy } from "./Baseline";
+import type { LoadResult, LoadStream } from "./LoadPlan";
+import { programPath, type RunOptions, type World } from "./World";
+
+/** Runs a load over the world's stand-ins through a baseline, one process for each region. */
+export async function runBaseline(
+    world: World,
+    policy: BaselinePolicy,
+    streams: readonly LoadStream[],
+    run: RunOptions
+): Promise<LoadResult> {
+    const started = await Promise.all(world.deployment.regions.map(async region => {
+        const servers = world.backends.filter(each => each.region === region).map(({ standIn }) => ({
+            service: standIn.service,
+            host: "127.0.0.1",
+            port: standIn.port
+        }));
+        const plan: BaselinePlan = { policy, servers };
+        const child = fork(programPath("endivebench"), ["baseline-process", JSON.stringify(plan)]);
+        const port = await new Promise<number>(resolve =>
+            child.once("message", message => resolve((message as { readonly port: number; }).port))
+        );
+        await world.openCallerRoute(region, `127.0.0.1:${port}`);
+        return { region, child, address: `127.0.0.1:${port}` };
+    }));
+    try {
+        const entries = Object.fromEntries(started.map(each => [each.region, [each.address]]));
+        return await world.runLoad(streams, { ...run, entries });
+    }
+    finally {
+        started.forEach(each => each.child.disconnect());
+    }
+}
+
+/** Lets servers queue what comes beyond their slots, as baselines need, and ends the entry instances. */
+export async function prepareBaselines(world: World): Promise<void> {
+    world.backends.forEach(({ standIn }) => standIn.behaviour.beyondSlots = "queue");
+    await Promise.all(world.instances.map(instance => world.stopInstance(instance, "SIGKILL")));
+}
--- a/packages/endivebridge-bench/src/World.ts
+++ b/packages/endivebridge-bench/src/World.ts
@@ -60,7 +60,7 @@
     readonly seed: number;
     readonly platform: PlatformStandIn;
     readonly platformClient: PlatformClient;
-    readonly backends: readonly BackendStandIn[];
+    readonly backends: readonly PlacedBackend[];
     readonly instances: readonly InstanceProcess[];
     /** Links between entry instances, by `viewer domain>instance`. */
     readonly peerLinks: ReadonlyMap<string, Link>;
@@ -76,6 +76,8 @@
     readonly startInstance: (instance: InstanceProcess) => Promise<void>;
     /** Ends one process; resolves with its exit code once it is gone. */
     readonly stopInstance: (instance: InstanceProcess, signal: NodeJS.Signals) => Promise<number | undefined>;
+    /** Lets callers of a region reach an address at their usual distance. */
+    readonly openCallerRoute: (region: string, address: string) => Promise<void>;
     readonly runLoad: (streams: readonly LoadStream[], options: RunOptions) => Promise<LoadResult>;
     /** Cuts a failure domain off from other domains and the platform, or heals it. */
     readonly setPartitioned: (domain: string, partitioned: boolean) => void;
@@ -92,8 +94,8 @@
     readonly rampSeconds?: number;
     readonly seed?: number;
     readonly onProgress?: (answered: number, failed: number) => void;
-    /** Addresses to send straight to, for baselines. */
-    readonly direct?: readonly string[];
+    /** What callers of each region ask first, for baselines. */
+    readonly entries?: Readonly<Record<string, readonly string[]>>;
 }
 
 /** Key of operators in every world. */
@@ -171,7 +173,8 @@
     return placed;
 }
 
-interface PlacedBackend {
+/** A stand-in backend server and where it stands. */
+export interface PlacedBackend {
     readonly standIn: BackendStandIn;
     readonly domain: string;
     readonly region: string;
@@ -375,13 +378,15 @@
             warmUpSeconds: run.warmUpSeconds ?? 4,
             rampSeconds: run.rampSeconds ?? 4,
             streams,
-            entryAddresses: run.direct ?? instances.map(each => each.callerAddress),
+            entryAddresses: run.entries
+                ?? Object.fromEntries(
+                    deployment.regions.map(region => [region, instances.map(each => each.callerAddress)])
+                ),
             routes,
             networks: Object.fromEntries(
                 deployment.regions.map(region => [region, clientNetwork(deployment, region)])
             ),
-            callersPerRegion: 24,
-            direct: run.direct !== undefined
+            callersPerRegion: 24
         };
         const child = fork(programPath("endivebench"), ["caller-process"], {
             stdio: ["ignore", "inherit", "inherit", "ipc"]
@@ -400,6 +405,12 @@
         });
     };
 
+    const openCallerRoute = async (region: string, address: string) => {
+        const link = await openShaped(region, region, address, deployment.clientDelayMillis);
+        callerLinks.set(`${region}>${address}`, link);
+        (routes[region] ??= {})[address] = `127.0.0.1:${link.port}`;
+    };
+
     const setPartitioned = (domain: string, partitioned: boolean) => {
         const own = new Set(instances.filter(each => each.domain === domain).map(each => each.instance));
         for (const [name, link] of peerLinks) {
@@ -439,7 +450,7 @@
         seed,
         platform,
         platformClient,
-        backends: backends.map(each => each.standIn),
+        backends,
         instances,
         peerLinks,
         callerLinks,
@@ -453,6 +464,7 @@
             await awaitReady(instance);
         },
         stopInstance,
+        openCallerRoute,
         runLoad,
         setPartitioned,
         askOperator,
--- a/packages/endivebridge-bench/src/main.ts
+++ b/packages/endivebridge-bench/src/main.ts
@@ -1,10 +1,14 @@
 import sade from "sade";
 import packageFile from "../package.json";
+import { serveBaseline } from "./Baseline";
 import { serveCallerProcess } from "./CallerProcess";
 import { runDemo } from "./Demo";
 import { servePassThrough } from "./PassThrough";
 import { reportScenario, type Scenario } from "./ScenarioReport";
+import { headroom } from "./scenarios/Headroom";
 import { overhead } from "./scenarios/Overhead";
+import { slowServers } from "./scenarios/SlowServers";
+import { stragglers } from "./scenarios/Stragglers";
 
 interface NamedScenario {
     readonly name: string;
@@ -14,7 +18,10 @@
 }
 
 const scenarios: readonly NamedScenario[] = [
-    { name: "overhead", describe: "Cost against direct and a plain pass-through", seconds: 20, scenario: overhead }
+    { name: "overhead", describe: "Cost against direct and a plain pass-through", seconds: 30, scenario: overhead },
+    { name: "slow-servers", describe: "A tenth of the servers ten times slower", seconds: 36, scenario: slowServers },
+    { name: "stragglers", describe: "2% of requests twenty times longer", seconds: 36, scenario: stragglers },
+    { name: "headroom", describe: "Load from 50% to 150%", seconds: 36, scenario: headroom }
 ];
 
 function finish(run: Promise<number>): void {
@@ -58,6 +65,10 @@
     .command("caller-process", "Used by the other commands: sends the load")
     .action(serveCallerProcess);
 
+program
+    .command("baseline-process <plan>", "Used by scenarios: a baseline policy")
+    .action(serveBaseline);
+
 program
     .command("pass-through-process <target>", "Used by overhead: a plain proxy")
     .action(servePassThrough);
--- a/packages/endivebridge-bench/src/scenarios/Overhead.ts
+++ b/packages/endivebridge-bench/src/scenarios/Overhead.ts
@@ -102,7 +102,11 @@
     const instance = world.instances[0]!;
     const read = "/echo?bytes=1000";
     return [
-        { policy: "direct", url: `http://127.0.0.1:${world.backends[0]!.port}${read}`, cpuMicros: async () => 0 },
+        {
+            policy: "direct",
+            url: `http://127.0.0.1:${world.backends[0]!.standIn.port}${read}`,
+            cpuMicros: async () => 0
+        },
         {
             policy: "pass-through",
             url: `http://127.0.0.1:${port}${read}`,
@@ -120,7 +124,7 @@
 /** The same load direct, through a plain pass-through and through `endivebridged`. */
 export const overhead: Scenario = async options => {
     const world = await startWorld({ deployment: oneOfEach, seed: options.seed, serviceMillis });
-    const target = `127.0.0.1:${world.backends[0]!.port}`;
+    const target = `127.0.0.1:${world.backends[0]!.standIn.port}`;
     const passThrough = fork(programPath("endivebench"), ["pass-through-process", target]);
     try {
         const ways = await makeWays(world, passThrough);
--- a/packages/endivebridge-caller/src/Caller.ts
+++ b/packages/endivebridge-caller/src/Caller.ts
@@ -25,6 +25,8 @@
     readonly headers?: (attempt: number) => Readonly<Record<string, string>>;
     readonly body?: string | Buffer;
     readonly idempotent: boolean;
+    /** Told the time in milliseconds that each refusal as not run took. */
+    readonly onRefusal?: (tookMillis: number) => void;
     /** Time in milliseconds within which an answer is wanted, resends included. */
     readonly deadlineMillis: number;
 }
@@ -169,6 +171,7 @@
                     continue;
                 }
                 const target = chosen.success;
+                const sentAtMillis = monotonicMillis();
                 const result = yield* Effect.result(sendOnce(request, target, attempt, deadlineAtMillis));
                 const verdict = Result.isSuccess(result) ? errorOf(result.success) : transportVerdict(result.failure);
                 if (Result.isSuccess(result) && verdict === undefined) {
@@ -181,6 +184,7 @@
                 }
                 if (last.ran === "no") {
                     notRun.push(attempt);
+                    request.onRefusal?.(monotonicMillis() - sentAtMillis);
                 }
                 else if (!request.idempotent) {
                     doubtful ??= target;
--- a/packages/endivebridge-core/src/EndivebridgeAdmission.ts
+++ b/packages/endivebridge-core/src/EndivebridgeAdmission.ts
@@ -72,3 +72,29 @@
         }
     };
 }
+
+/** Bounds calls that may be in vain; one that was worth it costs nothing. */
+export interface TryBudget {
+    readonly trySpend: (nowMillis: number) => boolean;
+    readonly refund: () => void;
+}
+
+/** Makes a budget that grows by `perSecond`, up to `most`. */
+export function makeTryBudget(perSecond: number, most: number): TryBudget {
+    let balance = most;
+    let grownAtMillis = 0;
+    return {
+        trySpend: nowMillis => {
+            balance = Math.min(most, balance + ((nowMillis - grownAtMillis) * perSecond) / 1_000);
+            grownAtMillis = nowMillis;
+            if (balance < 1) {
+                return false;
+            }
+            balance -= 1;
+            return true;
+        },
+        refund: () => {
+            balance = Math.min(most, balance + 1);
+        }
+    };
+}
--- /dev/null
+++ b/packages/endivebridge-core/src/EndivebridgeQuantile.ts
@@ -0,0 +1,41 @@
+import { build, type Histogram } from "hdr-histogram-js";
+
+/** Learns quantiles of recent values. */
+export interface LearnedQuantile {
+    readonly record: (millis: number, nowMillis: number) => void;
+    /** Value in milliseconds at a quantile in [0, 1]; undefined before enough values came. */
+    readonly at: (quantile: number) => number | undefined;
+}
+
+const windowMillis = 10_000;
+const enoughValues = 50;
+const microsPerMilli = 1_000;
+
+function makeHistogram(): Histogram {
+    return build({ lowestDiscernibleValue: 1, highestTrackableValue: 600_000_000, numberOfSignificantValueDigits: 2 });
+}
+
+/** Makes a learner that looks back over one to two windows of 10 s. */
+export function makeLearnedQuantile(): LearnedQuantile {
+    let current = makeHistogram();
+    let previous = makeHistogram();
+    let startedAtMillis = 0;
+    return {
+        record: (millis, nowMillis) => {
+            if (nowMillis - startedAtMillis > windowMillis) {
+                startedAtMillis = nowMillis;
+                const oldest = previous;
+                previous = current;
+                current = oldest;
+                current.reset();
+            }
+            current.recordValue(Math.max(1, Math.round(millis * microsPerMilli)));
+        },
+        at: quantile => {
+            const source = current.totalCount >= enoughValues ? current : previous;
+            return source.totalCount < enoughValues
+                ? undefined
+                : source.getValueAtPercentile(quantile * 100) / microsPerMilli;
+        }
+    };
+}
--- a/packages/endivebridge-core/src/EndivebridgeSlots.ts
+++ b/packages/endivebridge-core/src/EndivebridgeSlots.ts
@@ -1,3 +1,4 @@
+import { makeServerHealth, noteProbe, rampedSlots, type ServerHealth } from "./EndivebridgeHealth";
 import { makeServerLatency, type ServerLatency } from "./EndivebridgeLatency";
 import type { ServerPicker } from "./EndivebridgeSteering";
 
@@ -10,8 +11,9 @@
     usableSlots: number;
     /** Requests of this instance that hold a slot. */
     inFlight: number;
-    /** Set while the server is slow or failing: epoch of the monotonic clock until which it is passed over. */
-    setAsideUntilMillis: number;
+    readonly health: ServerHealth;
+    /** Monotonic time until which the server is passed over because it refused or could not be reached. */
+    unreachableUntilMillis: number;
     leaving: boolean;
 }
 
@@ -41,9 +43,15 @@
     readonly resume: (outcome: WaitOutcome) => void;
 }
 
+/** What besides free slots of healthy servers a request may take. */
+export interface SlotChoice {
+    readonly mayProbe: boolean;
+    readonly lastResort: boolean;
+}
+
 /** The slots of one service that this instance owns, and the requests that wait for them. */
 export interface SlotPool {
-    readonly tryAcquire: (excluded: ReadonlySet<string>) => HeldSlot | undefined;
+    readonly tryAcquire: (excluded: ReadonlySet<string>, choice?: SlotChoice) => HeldSlot | undefined;
     /** Queues a waiter behind those that arrived before it; the result takes it out again. */
     readonly wait: (
         excluded: ReadonlySet<string>,
@@ -59,6 +67,8 @@
     readonly servers: () => readonly OwnedServer[];
     readonly freeSlots: () => number;
     readonly usableSlots: () => number;
+    /** Slots of servers that are set aside as slow. */
+    readonly setAsideSlots: () => number;
     readonly waiting: () => number;
 }
 
@@ -70,19 +80,25 @@
     readonly nowMillis: () => number;
 }
 
+const healthyOnly: SlotChoice = { mayProbe: false, lastResort: false };
+
 /** Makes an empty pool. */
 export function makeSlotPool(options: SlotPoolOptions): SlotPool {
     const servers = new Map<string, OwnedServer>();
     let waiters: Waiter[] = [];
 
-    const tryAcquire = (excluded: ReadonlySet<string>): HeldSlot | undefined => {
+    const tryAcquire = (excluded: ReadonlySet<string>, choice = healthyOnly): HeldSlot | undefined => {
         if (!options.mayDispatch()) {
             return undefined;
         }
-        const owned = options.pickServer([...servers.values()], excluded, options.nowMillis());
+        const nowMillis = options.nowMillis();
+        const owned = options.pickServer(servers.values(), { excluded, nowMillis, ...choice });
         if (owned === undefined) {
             return undefined;
         }
+        if (owned.health.setAside) {
+            noteProbe(owned.health, nowMillis);
+        }
         owned.inFlight += 1;
         let held = true;
         const release = () => {
@@ -130,7 +146,8 @@
             ...slots,
             latency: makeServerLatency(),
             inFlight: 0,
-            setAsideUntilMillis: 0
+            health: makeServerHealth(),
+            unreachableUntilMillis: 0
         });
     };
 
@@ -159,11 +176,19 @@
         servers: () => [...servers.values()],
         freeSlots: () => {
             let free = 0;
+            const nowMillis = options.nowMillis();
             for (const owned of servers.values()) {
-                free += owned.leaving ? 0 : Math.max(0, owned.usableSlots - owned.inFlight);
+                const usable = rampedSlots(owned.health, owned.usableSlots, nowMillis);
+                const counts = !owned.leaving && !owned.health.setAside && owned.unreachableUntilMillis <= nowMillis;
+                free += counts ? Math.max(0, usable - owned.inFlight) : 0;
             }
             return options.mayDispatch() ? free : 0;
         },
+        setAsideSlots: () => {
+            let aside = 0;
+            servers.forEach(owned => aside += owned.health.setAside ? owned.usableSlots : 0);
+            return aside;
+        },
         usableSlots: () => {
             let usable = 0;
             servers.forEach(owned => usable += owned.usableSlots);
--- a/packages/endivebridge-core/src/EndivebridgeSteering.ts
+++ b/packages/endivebridge-core/src/EndivebridgeSteering.ts
@@ -1,17 +1,24 @@
+import { rampedSlots } from "./EndivebridgeHealth";
 import type { OwnedServer } from "./EndivebridgeSlots";
 
+/** What a choice of server is for. */
+export interface PickOptions {
+    readonly excluded: ReadonlySet<string>;
+    readonly nowMillis: number;
+    /** Whether the request may serve as a probe of a server that is set aside. */
+    readonly mayProbe: boolean;
+    /** Whether servers that are set aside may be used where nothing else is free. */
+    readonly lastResort: boolean;
+}
+
 /** Chooses the backend server for the next request among those with a free slot. */
-export type ServerPicker = (
-    servers: readonly OwnedServer[],
-    excluded: ReadonlySet<string>,
-    nowMillis: number
-) => OwnedServer | undefined;
+export type ServerPicker = (servers: Iterable<OwnedServer>, options: PickOptions) => OwnedServer | undefined;
 
-function isFree(owned: OwnedServer, excluded: ReadonlySet<string>, nowMillis: number): boolean {
+function hasFreeSlot(owned: OwnedServer, options: PickOptions): boolean {
     return !owned.leaving
-        && owned.inFlight < owned.usableSlots
-        && owned.setAsideUntilMillis <= nowMillis
-        && !excluded.has(owned.server);
+        && owned.unreachableUntilMillis <= options.nowMillis
+        && owned.inFlight < rampedSlots(owned.health, owned.usableSlots, options.nowMillis)
+        && !options.excluded.has(owned.server);
 }
 
 /** Expected cost of one more request: in-flight share first, weighed by the decayed service time. */
@@ -20,17 +27,27 @@
     return load * (owned.latency.estimateMillis ?? 0.001);
 }
 
-/** Picks the free server with the least expected cost. */
-export function pickLeastCost(
-    servers: readonly OwnedServer[],
-    excluded: ReadonlySet<string>,
-    nowMillis: number
-): OwnedServer | undefined {
+function isProbeDue(owned: OwnedServer, options: PickOptions): boolean {
+    return options.mayProbe && owned.inFlight === 0 && owned.health.probeAtMillis <= options.nowMillis;
+}
+
+/** Picks a server whose probe is due, else the free server with the least expected cost. */
+export function pickLeastCost(servers: Iterable<OwnedServer>, options: PickOptions): OwnedServer | undefined {
     let best: OwnedServer | undefined;
+    let resort: OwnedServer | undefined;
     for (const owned of servers) {
-        if (isFree(owned, excluded, nowMillis) && (best === undefined || cost(owned) < cost(best))) {
-            best = owned;
+        if (!hasFreeSlot(owned, options)) {
+            continue;
+        }
+        if (!owned.health.setAside) {
+            best = best === undefined || cost(owned) < cost(best) ? owned : best;
+        }
+        else if (isProbeDue(owned, options)) {
+            return owned;
+        }
+        else if (options.lastResort) {
+            resort = resort === undefined || cost(owned) < cost(resort) ? owned : resort;
         }
     }
-    return best;
+    return best ?? resort;
 }
--- a/packages/endivebridge-core/src/index.ts
+++ b/packages/endivebridge-core/src/index.ts
@@ -2,10 +2,12 @@
     expectedWaitMillis,
     makeSecondWindow,
     makeShareBudget,
+    makeTryBudget,
     mayWait,
     type QueueLoad,
     type SecondWindow,
-    type ShareBudget
+    type ShareBudget,
+    type TryBudget
 } from "./EndivebridgeAdmission";
 export {
     type AssignedServer,
@@ -38,6 +40,15 @@
     type SteeringError,
     steeringError
 } from "./EndivebridgeErrors";
+export {
+    lateFactor,
+    makeServerHealth,
+    noteInTime,
+    noteLate,
+    noteProbe,
+    rampedSlots,
+    type ServerHealth
+} from "./EndivebridgeHealth";
 export {
     type Journal,
     type JournalOptions,
@@ -49,13 +60,16 @@
 export { type Lease, type LeaseEvidence, makeLease } from "./EndivebridgeLease";
 export { type Hash, type LookupCandidate, type LookupQuestion, orderInstances } from "./EndivebridgeLookup";
 export { formatOperationPrefix, type OperationId, parseOperationId } from "./EndivebridgeOperation";
+export { makePoisonList, type PoisonList, type StruckRequest } from "./EndivebridgePoison";
+export { type LearnedQuantile, makeLearnedQuantile } from "./EndivebridgeQuantile";
 export {
     type HeldSlot,
     makeSlotPool,
     type OwnedServer,
     type OwnedSlots,
+    type SlotChoice,
     type SlotPool,
     type SlotPoolOptions,
     type WaitOutcome
 } from "./EndivebridgeSlots";
-export { pickLeastCost, type ServerPicker } from "./EndivebridgeSteering";
+export { pickLeastCost, type PickOptions, type ServerPicker } from "./EndivebridgeSteering";
--- a/packages/endivebridge-daemon/src/BackendConnections.ts
+++ b/packages/endivebridge-daemon/src/BackendConnections.ts
@@ -6,6 +6,8 @@
     readonly pooled: (server: string) => Agent;
     /** A connection of its own for each request: a request on it cannot meet an earlier one's end. */
     readonly fresh: (server: string) => Agent;
+    /** Closes connections that wait for use; those in use stay. */
+    readonly dropIdle: (server: string) => void;
     readonly close: (server: string) => void;
     readonly closeAll: () => void;
 }
@@ -50,6 +52,10 @@
     return {
         pooled: server => of(server).pooled,
         fresh: server => of(server).fresh,
+        dropIdle: server => {
+            const idle = Object.values(agents.get(server)?.pooled.freeSockets ?? {});
+            idle.forEach(sockets => sockets?.forEach(socket => socket.destroy()));
+        },
         close,
         closeAll: () => [...agents.keys()].forEach(close)
     };
--- a/packages/endivebridge-daemon/src/Context.ts
+++ b/packages/endivebridge-daemon/src/Context.ts
@@ -2,10 +2,13 @@
     AssignmentRow,
     ClientBlocks,
     Journal,
+    LearnedQuantile,
     Lease,
+    PoisonList,
     SecondWindow,
     ShareBudget,
-    SlotPool
+    SlotPool,
+    TryBudget
 } from "@endivebridge/core";
 import type { ListedBackendServer, ListedEntryInstance, PlatformClient } from "@endivebridge/platform";
 import type { ConfigurationDocument, InstanceSettings } from "@endivebridge/settings";
@@ -46,6 +49,10 @@
     readonly retries: ShareBudget;
     readonly hedges: ShareBudget;
     readonly inflow: SecondWindow;
+    /** Calls to peers that said they were full. */
+    readonly tries: TryBudget;
+    /** Times of whole answers of own servers. */
+    readonly answerTimes: LearnedQuantile;
 }
 
 /** What the tasks of one entry instance share. */
@@ -58,6 +65,7 @@
     readonly connections: BackendConnections;
     readonly journal: Journal<Answer>;
     readonly lease: Lease;
+    readonly poison: PoisonList;
     readonly configuration: State<ConfigurationInForce | undefined>;
     readonly instances: State<InstancesSeen>;
     readonly assignment: State<AssignmentSeen | undefined>;
--- a/packages/endivebridge-daemon/src/Daemon.ts
+++ b/packages/endivebridge-daemon/src/Daemon.ts
@@ -1,10 +1,13 @@
 import {
     makeClientBlocks,
     makeJournal,
+    makeLearnedQuantile,
     makeLease,
+    makePoisonList,
     makeSecondWindow,
     makeShareBudget,
     makeSlotPool,
+    makeTryBudget,
     pickLeastCost
 } from "@endivebridge/core";
 import { makePlatformClient } from "@endivebridge/platform";
@@ -35,6 +38,8 @@
 
 const journalCapacity = 200_000;
 const lookAgainMillis = 25;
+const triesPerSecond = 20;
+const mostTries = 10;
 
 /** A running entry instance. */
 export interface Daemon {
@@ -61,6 +66,7 @@
             memoryMillis: settings.timing.operationMemoryMillis,
             capacity: journalCapacity
         }),
+        poison: makePoisonList(),
         lease: makeLease(settings.timing.leaseMillis),
         configuration: makeState<ConfigurationInForce | undefined>(undefined),
         instances: makeState<InstancesSeen>({ entries: [], servers: [], readAtMillis: 0 }),
@@ -85,7 +91,9 @@
         }),
         retries: makeShareBudget(() => definition()?.retryShare ?? 0),
         hedges: makeShareBudget(() => definition()?.hedgeShare ?? 0),
-        inflow: makeSecondWindow()
+        inflow: makeSecondWindow(),
+        tries: makeTryBudget(triesPerSecond, mostTries),
+        answerTimes: makeLearnedQuantile()
     };
 }
 
--- a/packages/endivebridge-daemon/src/DispatchRequest.ts
+++ b/packages/endivebridge-daemon/src/DispatchRequest.ts
@@ -20,6 +20,11 @@
     readonly connections: BackendConnections;
     readonly heldAnswerBytes: number;
     readonly cancelHoldMillis: number;
+    /** Time after which the answer counts as late. */
+    readonly lateAfterMillis: number;
+    /** Called once when the answer is late; says whether the connection had carried earlier requests. */
+    readonly onLate: (onReusedConnection: boolean) => void;
+    readonly onAnswer: (tookMillis: number, wasLate: boolean) => void;
 }
 
 const keptAnswerBytes = 1_048_576;
@@ -101,6 +106,11 @@
         const separator = address.lastIndexOf(":");
         let connected = false;
         let ended = false;
+        let late = false;
+        const lateTimer = setTimeout(() => {
+            late = true;
+            options.onLate(outgoing.reusedSocket);
+        }, options.lateAfterMillis);
         const outgoing = openRequest({
             host: address.slice(0, separator),
             port: Number(address.slice(separator + 1)),
@@ -123,6 +133,7 @@
             }
             ended = true;
             clearTimeout(deadlineTimer);
+            clearTimeout(lateTimer);
             outgoing.destroy();
             if (ran === "no") {
                 slot.release();
@@ -145,8 +156,10 @@
         const finish = () => {
             ended = true;
             clearTimeout(deadlineTimer);
+            clearTimeout(lateTimer);
             const nowMillis = monotonicMillis();
             recordLatency(latency, nowMillis - startedAtMillis, nowMillis);
+            options.onAnswer(nowMillis - startedAtMillis, late);
             slot.release();
         };
 
@@ -189,6 +202,7 @@
                 }
                 ended = true;
                 clearTimeout(deadlineTimer);
+                clearTimeout(lateTimer);
                 response.off("data", onData);
                 response.pause();
                 resume(Effect.succeed(answer(response)));
@@ -217,6 +231,7 @@
             if (!ended) {
                 ended = true;
                 clearTimeout(deadlineTimer);
+                clearTimeout(lateTimer);
                 outgoing.destroy();
                 releaseLater();
             }
--- a/packages/endivebridge-daemon/src/ForwardRequest.ts
+++ b/packages/endivebridge-daemon/src/ForwardRequest.ts
@@ -4,6 +4,7 @@
 import { type ForwardRequest, ForwardRequestSchema, type ForwardResponse } from "@endivebridge/protocol";
 import { monotonicMillis } from "@endivebridge/shared";
 import { Effect } from "effect";
+import { noteLoad } from "./Heartbeat";
 import type { Peer } from "./Peer";
 import type { Answer, SteeringRequest } from "./SteeringRequest";
 
@@ -45,18 +46,6 @@
     });
 }
 
-/** Takes in what a peer's answer says of its load. */
-function noteLoad(peer: Peer, response: ForwardResponse): void {
-    const { load } = response;
-    if (load !== undefined) {
-        peer.loads.set(load.service, {
-            freeSlots: load.freeSlots,
-            ownedSlots: load.ownedSlots,
-            waiting: load.waiting
-        });
-    }
-}
-
 /** Sends a request to a peer's free slot, once. */
 export function forwardRequest(
     peer: Peer,
@@ -64,7 +53,9 @@
 ): Effect.Effect<Answer, ForwardFailure> {
     return callPeer(signal =>
         peer.client.forward(encodeForward(request), callOptions(request, signal)).then(response => {
-            noteLoad(peer, response);
+            if (response.load !== undefined) {
+                noteLoad(peer, response.load);
+            }
             return response;
         })
     );
--- a/packages/endivebridge-daemon/src/Heartbeat.ts
+++ b/packages/endivebridge-daemon/src/Heartbeat.ts
@@ -1,8 +1,14 @@
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
-import { type HeartbeatRequest, HeartbeatRequestSchema, type HeartbeatResponseSchema } from "@endivebridge/protocol";
+import {
+    type HeartbeatRequest,
+    HeartbeatRequestSchema,
+    type HeartbeatResponseSchema,
+    type ServiceLoad
+} from "@endivebridge/protocol";
 import { monotonicMillis } from "@endivebridge/shared";
 import type { Context, ServiceState } from "./Context";
 import type { Peer } from "./Peer";
+import { ownServiceMillis } from "./ServiceTimes";
 
 /** What this instance has free of one service. */
 export function describeLoad(service: ServiceState) {
@@ -10,7 +16,9 @@
         service: service.service,
         freeSlots: service.pool.freeSlots(),
         ownedSlots: service.pool.usableSlots(),
-        waiting: service.pool.waiting()
+        waiting: service.pool.waiting(),
+        setAsideSlots: service.pool.setAsideSlots(),
+        serviceMicros: Math.round((ownServiceMillis(service) ?? 0) * 1_000)
     };
 }
 
@@ -23,11 +31,23 @@
         configurationVersion: context.configuration.read()?.version ?? 0,
         mintEpoch: context.journal.currentEpoch(),
         leaving: context.shutdown.read(),
+        struckRequests: [...context.poison.struck(monotonicMillis())],
         assignmentVersion: context.assignment.read()?.version ?? 0,
         loads: [...context.services.values()].map(describeLoad)
     });
 }
 
+/** Takes in what a peer says of one service. */
+export function noteLoad(peer: Peer, load: ServiceLoad): void {
+    peer.loads.set(load.service, {
+        freeSlots: load.freeSlots,
+        ownedSlots: load.ownedSlots,
+        waiting: load.waiting,
+        setAsideSlots: load.setAsideSlots,
+        serviceMillis: load.serviceMicros === 0 ? undefined : load.serviceMicros / 1_000
+    });
+}
+
 /** Takes in what a peer said of itself, whichever side of the heartbeat it came from. */
 export function notePeer(
     peer: Peer,
@@ -41,12 +61,10 @@
 
 function noteLoads(context: Context, peer: Peer, request: HeartbeatRequest): void {
     peer.leaving = request.leaving;
+    const nowMillis = monotonicMillis();
+    request.struckRequests.forEach(struck => context.poison.learn(struck.fingerprint, struck.strikes, nowMillis));
     for (const load of request.loads) {
-        peer.loads.set(load.service, {
-            freeSlots: load.freeSlots,
-            ownedSlots: load.ownedSlots,
-            waiting: load.waiting
-        });
+        noteLoad(peer, load);
         if (load.freeSlots > 0) {
             context.services.get(load.service)?.pool.sendElsewhere(load.freeSlots);
         }
--- a/packages/endivebridge-daemon/src/Peer.ts
+++ b/packages/endivebridge-daemon/src/Peer.ts
@@ -6,6 +6,9 @@
     freeSlots: number;
     readonly ownedSlots: number;
     readonly waiting: number;
+    readonly setAsideSlots: number;
+    /** Median service time of the peer's servers; undefined before there are samples. */
+    readonly serviceMillis: number | undefined;
 }
 
 /** Another entry instance, as this one knows it. */
--- a/packages/endivebridge-daemon/src/PeerServer.ts
+++ b/packages/endivebridge-daemon/src/PeerServer.ts
@@ -10,7 +10,7 @@
 import { answerHeartbeat, describeLoad } from "./Heartbeat";
 import { isRightKey } from "./Keys";
 import { runOwnedOperation } from "./Operations";
-import { runRequest } from "./ServeRequest";
+import { runRequest } from "./RunRequest";
 import type { Answer, SteeringRequest } from "./SteeringRequest";
 
 const forwardedAnswerBytes = 16 * 1_048_576;
--- a/packages/endivebridge-daemon/src/PlaceRequest.ts
+++ b/packages/endivebridge-daemon/src/PlaceRequest.ts
@@ -2,7 +2,6 @@
     type ErrorKind,
     type HeldSlot,
     mayWait,
-    medianLatencyMillis,
     parseErrorKind,
     type SteeringError,
     steeringError,
@@ -14,6 +13,7 @@
 import { forwardRequest } from "./ForwardRequest";
 import { admitInflow } from "./Inflow";
 import type { Peer } from "./Peer";
+import { usualServiceMillis } from "./ServiceTimes";
 import type { Answer, SteeringRequest } from "./SteeringRequest";
 
 /** Where a request found its place: an own slot, or a peer that already ran it. */
@@ -28,17 +28,11 @@
 
 const regionPeersTried = 3;
 const farPeersTried = 1;
-const serviceMillisBeforeSamples = 20;
 
 function refuse(kind: ErrorKind, detail: string): Effect.Effect<never, SteeringError> {
     return Effect.fail(steeringError(kind, detail));
 }
 
-/** Service time of the service's servers here in milliseconds, for estimates of waits. */
-export function serviceMillis(service: ServiceState): number {
-    return medianLatencyMillis(service.pool.servers().map(owned => owned.latency)) ?? serviceMillisBeforeSamples;
-}
-
 function distance(context: Context, peer: Peer): number {
     if (peer.failureDomain === context.settings.failureDomain) {
         return 0;
@@ -47,8 +41,8 @@
 }
 
 /**
- * Peers that may have a free slot, nearest first. What they last said is old by up to a heartbeat: within the region
- * a call costs little, so those that said they were full are asked too, after the others.
+ * Peers that may have a free slot, nearest first. What they last said is old by up to a heartbeat, so the region's
+ * peers that said they were full come too, after the others; a budget bounds the calls in vain.
  */
 export function peersToTry(context: Context, service: string): readonly Peer[] {
     const free = (peer: Peer) => peer.loads.get(service)?.freeSlots ?? 0;
@@ -87,12 +81,19 @@
     for (const peer of peers) {
         tried.add(peer.instance);
         const load = peer.loads.get(service.service);
-        if (load !== undefined) {
+        const saidFree = load !== undefined && load.freeSlots > 0;
+        if (!saidFree && !service.tries.trySpend(monotonicMillis())) {
+            continue;
+        }
+        if (saidFree) {
             load.freeSlots -= 1;
         }
         context.metrics.count("forwards", { service: service.service });
         const result = yield* Effect.result(forwardRequest(peer, request));
         if (Result.isSuccess(result)) {
+            if (!saidFree) {
+                service.tries.refund();
+            }
             return result.success;
         }
         doubt.mayHaveRun ||= result.failure.ran !== "no";
@@ -117,10 +118,12 @@
 ): Effect.Effect<Placement, SteeringError> {
     return Effect.gen(function*() {
         const tried = new Set<string>();
+        let admitted = false;
         const arrivedAtMillis = monotonicMillis();
+        const mayProbe = request.idempotent && !request.forwarded;
         const ownAllowed = admitInflow(context, service, request);
         for (;;) {
-            const slot = ownAllowed ? service.pool.tryAcquire(excluded) : undefined;
+            const slot = ownAllowed ? service.pool.tryAcquire(excluded, { mayProbe, lastResort: false }) : undefined;
             if (slot !== undefined) {
                 context.metrics.timing("queue_wait_millis", monotonicMillis() - arrivedAtMillis, {
                     service: service.service
@@ -137,7 +140,10 @@
             if (!ownAllowed) {
                 return yield* refuse("capReached", "");
             }
-            const placed = yield* waitInQueue(service, request, excluded, arrivedAtMillis);
+            const placed = admitted || isWaitWorthwhile(context, service, request)
+                ? yield* waitInQueue(service, request, excluded, arrivedAtMillis)
+                : yield* takeLastResort(service, excluded);
+            admitted = true;
             if (placed.kind === "slot") {
                 context.metrics.timing("queue_wait_millis", monotonicMillis() - arrivedAtMillis, {
                     service: service.service
@@ -149,6 +155,23 @@
     });
 }
 
+function isWaitWorthwhile(context: Context, service: ServiceState, request: SteeringRequest): boolean {
+    const load = {
+        waiting: service.pool.waiting(),
+        usableSlots: service.pool.usableSlots() - service.pool.setAsideSlots(),
+        serviceMillis: usualServiceMillis(context, service)
+    };
+    return mayWait(load, request.definition.queueWaitMillis, request.deadlineAtMillis - monotonicMillis());
+}
+
+/** A slow server's slot is better than none. */
+function takeLastResort(service: ServiceState, excluded: ReadonlySet<string>): Effect.Effect<Placement, SteeringError> {
+    const slot = service.pool.tryAcquire(excluded, { mayProbe: false, lastResort: true });
+    return slot === undefined
+        ? refuse("overloaded", "no slot will be free in time")
+        : Effect.succeed({ kind: "slot", slot });
+}
+
 function waitInQueue(
     service: ServiceState,
     request: SteeringRequest,
@@ -156,24 +179,11 @@
     arrivedAtMillis: number
 ): Effect.Effect<Exclude<WaitOutcome, { kind: "closed"; }>, SteeringError> {
     return Effect.gen(function*() {
-        const nowMillis = monotonicMillis();
-        const remainingMillis = request.deadlineAtMillis - nowMillis;
-        const load = {
-            waiting: service.pool.waiting(),
-            usableSlots: service.pool.usableSlots(),
-            serviceMillis: serviceMillis(service)
-        };
-        const waitedMillis = nowMillis - arrivedAtMillis;
-        if (!mayWait(load, request.definition.queueWaitMillis - waitedMillis, remainingMillis)) {
-            return yield* refuse("overloaded", "no slot will be free in time");
-        }
+        const remainingMillis = request.deadlineAtMillis - monotonicMillis();
         const outcome = yield* Effect.timeoutOrElse(waitForSlot(service, excluded, arrivedAtMillis), {
             duration: Math.max(1, remainingMillis),
             orElse: () => refuse("deadlineBeforeRun", "")
         });
-        if (outcome.kind === "closed") {
-            return yield* refuse("shuttingDown", "");
-        }
-        return outcome;
+        return outcome.kind === "closed" ? yield* refuse("shuttingDown", "") : outcome;
     });
 }
--- /dev/null
+++ b/packages/endivebridge-daemon/src/RunRequest.ts
@@ -0,0 +1,173 @@
+import {
+    errorAnswers,
+    type HeldSlot,
+    noteInTime,
+    noteLate,
+    type SteeringError,
+    steeringError
+} from "@endivebridge/core";
+import { monotonicMillis } from "@endivebridge/shared";
+import { Effect, Result } from "effect";
+import type { Context, ServiceState } from "./Context";
+import { type DispatchFailure, type DispatchOptions, dispatchRequest } from "./DispatchRequest";
+import { type Doubt, placeRequest } from "./PlaceRequest";
+import { isQuarantined, strikeRequest } from "./Poison";
+import { hedgeAfterMillis, lateAfterMillis, maySetAside } from "./ServiceTimes";
+import type { Answer, SteeringRequest } from "./SteeringRequest";
+
+const unreachableMillis = 1_000;
+const shortestRefusalMillis = 50;
+const attemptsAtMost = 3;
+
+type DispatchResult = Result.Result<Answer, DispatchFailure>;
+
+function dispatchOptions(context: Context, service: ServiceState, slot: HeldSlot): DispatchOptions {
+    const { health, server, usableSlots } = slot.owned;
+    return {
+        connections: context.connections,
+        heldAnswerBytes: context.settings.limits.heldAnswerBytes,
+        cancelHoldMillis: context.settings.timing.cancelHoldMillis,
+        lateAfterMillis: lateAfterMillis(context, service),
+        onLate: onReusedConnection => {
+            noteLate(health, monotonicMillis(), () => maySetAside(context, service, usableSlots));
+            // The connection may have gone silent, and with it every other one that waits for use.
+            if (onReusedConnection) {
+                context.connections.dropIdle(server);
+            }
+        },
+        onAnswer: (tookMillis, wasLate) => {
+            const nowMillis = monotonicMillis();
+            service.answerTimes.record(tookMillis, nowMillis);
+            if (!wasLate) {
+                noteInTime(health, nowMillis);
+            }
+        }
+    };
+}
+
+function dispatchOnce(
+    context: Context,
+    service: ServiceState,
+    request: SteeringRequest,
+    slot: HeldSlot
+): Effect.Effect<DispatchResult> {
+    return Effect.result(dispatchRequest(dispatchOptions(context, service, slot), request, slot));
+}
+
+/** A second server for a request that is slow: only a free slot, only where nothing waits, only within the budget. */
+function hedgeSlot(service: ServiceState, excluded: ReadonlySet<string>): HeldSlot | undefined {
+    if (service.pool.waiting() > 0) {
+        return undefined;
+    }
+    const slot = service.pool.tryAcquire(excluded);
+    if (slot !== undefined && !service.hedges.trySpend()) {
+        slot.release();
+        return undefined;
+    }
+    return slot;
+}
+
+const hedgeBranch = (
+    context: Context,
+    service: ServiceState,
+    request: SteeringRequest,
+    excluded: ReadonlySet<string>,
+    afterMillis: number
+): Effect.Effect<DispatchResult> =>
+    Effect.gen(function*() {
+        yield* Effect.sleep(afterMillis);
+        const slot = hedgeSlot(service, excluded);
+        if (slot === undefined) {
+            return yield* Effect.never;
+        }
+        context.metrics.count("hedges", { service: service.service });
+        const result = yield* dispatchOnce(context, service, request, slot);
+        return Result.isSuccess(result) ? result : yield* Effect.never;
+    });
+
+/** Runs an idempotent request on one server and, where that is slow, on a second; the loser is cancelled. */
+function dispatchHedged(
+    context: Context,
+    service: ServiceState,
+    request: SteeringRequest,
+    slot: HeldSlot,
+    excluded: ReadonlySet<string>
+): Effect.Effect<DispatchResult> {
+    const first = dispatchOnce(context, service, request, slot);
+    const afterMillis = request.idempotent ? hedgeAfterMillis(context, service) : undefined;
+    if (afterMillis === undefined) {
+        return first;
+    }
+    const others = new Set([...excluded, slot.owned.server]);
+    return Effect.raceFirst(first, hedgeBranch(context, service, request, others, afterMillis));
+}
+
+function passOver(service: ServiceState, failure: DispatchFailure): void {
+    const owned = service.pool.servers().find(each => each.server === failure.server);
+    if (owned === undefined) {
+        return;
+    }
+    const nowMillis = monotonicMillis();
+    if (failure.reason === "unreachable") {
+        owned.unreachableUntilMillis = nowMillis + unreachableMillis;
+    }
+    if (failure.reason === "refused") {
+        const pauseMillis = Math.min(unreachableMillis, Math.max(shortestRefusalMillis, failure.retryAfterMillis));
+        owned.unreachableUntilMillis = nowMillis + pauseMillis;
+    }
+}
+
+function mayRetry(service: ServiceState, request: SteeringRequest, failure: DispatchFailure): boolean {
+    const safe = failure.ran === "no" || request.idempotent;
+    return safe && failure.reason !== "deadline" && failure.reason !== "tooLarge" && service.retries.trySpend();
+}
+
+/** Never says "not run" of a request of which an earlier attempt may have run. */
+function withDoubt<Value>(
+    doubt: Doubt,
+    effect: Effect.Effect<Value, SteeringError>
+): Effect.Effect<Value, SteeringError> {
+    return Effect.mapError(effect, error => {
+        const saysNotRun = errorAnswers[error.kind].ran === "no";
+        return doubt.mayHaveRun && saysNotRun ? steeringError("serverFailed", `then ${error.kind}`) : error;
+    });
+}
+
+/** Runs a request on a backend server, its own or a peer's; a retry goes to another server. */
+export function runRequest(
+    context: Context,
+    service: ServiceState,
+    request: SteeringRequest
+): Effect.Effect<Answer, SteeringError> {
+    return Effect.gen(function*() {
+        const excluded = new Set<string>();
+        const doubt: Doubt = { mayHaveRun: false };
+        service.retries.earn();
+        service.hedges.earn();
+        for (let attempt = 1;; attempt += 1) {
+            if (isQuarantined(context, request)) {
+                return yield* withDoubt(doubt, Effect.fail(steeringError("quarantined")));
+            }
+            const placement = yield* withDoubt(doubt, placeRequest(context, service, request, excluded, doubt));
+            if (placement.kind === "answered") {
+                return placement.answer;
+            }
+            const result = yield* dispatchHedged(context, service, request, placement.slot, excluded);
+            if (Result.isSuccess(result)) {
+                return result.success;
+            }
+            const failure = result.failure;
+            passOver(service, failure);
+            doubt.mayHaveRun ||= failure.ran !== "no";
+            if (failure.reason === "cut") {
+                strikeRequest(context, request);
+            }
+            if (attempt >= attemptsAtMost || !mayRetry(service, request, failure)) {
+                const detail = `server ${failure.server}: ${failure.reason}`;
+                return yield* withDoubt(doubt, Effect.fail(steeringError(failure.kind, detail)));
+            }
+            context.metrics.count("retries", { service: service.service });
+            excluded.add(failure.server);
+        }
+    });
+}
--- a/packages/endivebridge-protocol/src/index.ts
+++ b/packages/endivebridge-protocol/src/index.ts
@@ -7,5 +7,6 @@
     HeartbeatRequestSchema,
     type HeartbeatResponse,
     HeartbeatResponseSchema,
-    PeerService
+    PeerService,
+    type ServiceLoad
 } from "./generated/peer_pb";
--- a/packages/endivebridge-standins/src/BackendStandIn.ts
+++ b/packages/endivebridge-standins/src/BackendStandIn.ts
@@ -48,6 +48,8 @@
     readonly behaviour: BackendBehaviour;
     readonly record: BackendRecord;
     readonly inFlight: () => number;
+    /** Slot time that requests have used so far. */
+    readonly busyMillis: () => number;
     /** Stops listening and cuts every connection; what ran is lost. */
     readonly crash: () => void;
     readonly restart: () => void;
@@ -89,10 +91,10 @@
 }
 
 /** Service times spread around their mean: half of it fixed, half exponential. */
-function drawServiceMillis(behaviour: BackendBehaviour, random: () => number): number {
+function drawServiceMillis(behaviour: BackendBehaviour, factor: number, random: () => number): number {
     const exponential = -Math.log(1 - random());
     const straggler = random() < behaviour.stragglerShare ? behaviour.stragglerFactor : 1;
-    return behaviour.serviceMillis * (0.5 + 0.5 * exponential) * behaviour.slowFactor * straggler;
+    return behaviour.serviceMillis * (0.5 + 0.5 * exponential) * behaviour.slowFactor * straggler * factor;
 }
 
 /** Starts one stand-in backend server on loopback. */
@@ -123,6 +125,7 @@
     };
     const sockets = new Set<Socket>();
     let inFlight = 0;
+    let busyMillis = 0;
 
     let life = 0;
     const turns: (() => void)[] = [];
@@ -162,6 +165,7 @@
             response.writeHead(200, { "content-length": body.length, "content-type": "application/json" }).end(body);
             return;
         }
+        const url = new URL(incoming.url ?? "/", "http://server");
         const token = String(incoming.headers[tokenHeader] ?? "");
         if (!await readWhole(incoming)) {
             return;
@@ -182,8 +186,9 @@
             return;
         }
         const lifeAtStart = life;
+        const begunAtMillis = performance.now();
         const isRead = incoming.method === "GET";
-        const serviceMillis = drawServiceMillis(behaviour, options.random);
+        const serviceMillis = drawServiceMillis(behaviour, Number(url.searchParams.get("factor") ?? 1), options.random);
         const ended = await new Promise<boolean>(resolve => {
             const timer = setTimeout(() => resolve(true), serviceMillis);
             // Reads stop when their caller is gone; work with effects goes on to its end.
@@ -198,12 +203,13 @@
             return;
         }
         inFlight -= 1;
+        busyMillis += performance.now() - begunAtMillis;
         turns.shift()?.();
         if (!ended) {
             record.cancelled += 1;
             return;
         }
-        const bytes = Number(new URL(incoming.url ?? "/", "http://server").searchParams.get("bytes") ?? 100);
+        const bytes = Number(url.searchParams.get("bytes") ?? 100);
         const body = answerBody(token, bytes);
         response.writeHead(200, {
             "content-length": Buffer.byteLength(body),
@@ -230,6 +236,7 @@
         behaviour,
         record,
         inFlight: () => inFlight,
+        busyMillis: () => busyMillis,
         crash,
         restart,
         close: () =>
