--- a/packages/endivebridge-bench/src/World.ts
+++ b/packages/endivebridge-bench/src/World.ts
@@ -149,7 +149,10 @@
         ),
         services: Object.fromEntries(deployment.services.map(({ service, readPath }) => [
             service,
-            { idempotentRoutes: [{ method: "GET", pathPrefix: readPath }, { method: "GET", pathPrefix: "/poison" }] }
+            {
+                maximumDeadlineMillis: 20_000,
+                idempotentRoutes: [{ method: "GET", pathPrefix: readPath }, { method: "GET", pathPrefix: "/poison" }]
+            }
         ])),
         clientBlocks: deployment.regions.map(region => ({
             block: `${clientNetwork(deployment, region)}.0.0/16`,
--- /dev/null
+++ b/packages/endivebridge-bench/src/__tests__/integration/Configuration.test.ts
@@ -0,0 +1,42 @@
+import test from "ava";
+import { Effect } from "effect";
+import { type InstanceView, pause, startSmall, until } from "./SmallWorld";
+
+test.serial("an accepted configuration comes into force everywhere and never reverts", async t => {
+    const world = await startSmall();
+    try {
+        const first = world.platform.rows().get("configuration/0000000001")!.value as {
+            readonly value: { readonly text: string; };
+        };
+        const accept = (version: number) =>
+            Effect.runPromise(
+                world.platformClient.writeRow(`configuration/${String(version).padStart(10, "0")}`, 0, first.value)
+            );
+        const versions = async () =>
+            await Promise.all(
+                world.instances.map(async each =>
+                    (await world.askOperator(each, "operator/instance") as InstanceView).configurationVersion
+                )
+            );
+        await accept(2);
+        t.true(await until(async () => (await versions()).every(version => version === 2)));
+
+        // An instance that starts while the platform is down learns the version in force from its peers.
+        const restarted = world.instances[3]!;
+        world.platform.faults.down = true;
+        await world.stopInstance(restarted, "SIGKILL");
+        world.platform.faults.down = false;
+        await accept(3);
+        await world.startInstance(restarted);
+        t.true(await until(async () => (await versions()).every(version => version === 3)));
+        world.platform.faults.lostAnswerShare = 1;
+        await accept(4);
+        world.platform.faults.lostAnswerShare = 0;
+        t.true(await until(async () => (await versions()).every(version => version === 4)));
+        await pause(1_000);
+        t.deepEqual(await versions(), [4, 4, 4, 4]);
+    }
+    finally {
+        await world.close();
+    }
+});
--- /dev/null
+++ b/packages/endivebridge-bench/src/__tests__/integration/SmallWorld.ts
@@ -0,0 +1,77 @@
+import type { Deployment } from "../../Deployment";
+import { labelNamed, type LabelResult, type LoadResult } from "../../LoadPlan";
+import { countSafety, type SafetyCounts } from "../../Safety";
+import { usualStreams } from "../../Streams";
+import { type RunOptions, startWorld, type World, type WorldOptions } from "../../World";
+
+/** Two regions with one failure domain of two instances each. */
+export const small: Deployment = {
+    name: "small",
+    regions: ["east", "west"],
+    domainsPerRegion: 1,
+    instancesPerDomain: 2,
+    domainDelayMillis: 0.5,
+    regionDelayMillis: 5,
+    clientDelayMillis: 1,
+    regionMegabitsPerSecond: 280,
+    services: [
+        { service: "circulation", servers: 6, slots: 4, readPath: "/holds", writePath: "/checkouts", writeShare: 0.3 }
+    ]
+};
+
+const serviceMillis = 60;
+
+/** Starts a small world for one test. */
+export function startSmall(options: Partial<WorldOptions> = {}): Promise<World> {
+    return startWorld({ deployment: small, seed: 7, serviceMillis, ...options });
+}
+
+/** Runs reads and writes at a share of the slots' capacity. */
+export function runSmall(world: World, load: number, run: RunOptions, deadlineMillis = 3_000): Promise<LoadResult> {
+    const streams = usualStreams(small, { load, serviceMillis, deadlineMillis });
+    return world.runLoad(streams, { rampSeconds: 1, warmUpSeconds: 0, ...run });
+}
+
+/** Waits until something holds; gives up after `millis`. */
+export async function until(holds: () => Promise<boolean>, millis = 15_000): Promise<boolean> {
+    const endMillis = performance.now() + millis;
+    while (performance.now() < endMillis) {
+        if (await holds().catch(() => false)) {
+            return true;
+        }
+        await pause(100);
+    }
+    return false;
+}
+
+/** Waits. */
+export function pause(millis: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, millis));
+}
+
+/** Safety counts and all calls of a run. */
+export function judge(world: World, result: LoadResult): { readonly safety: SafetyCounts; readonly all: LabelResult; } {
+    return { safety: countSafety(world.records(), result), all: labelNamed(result, "all") };
+}
+
+/** Counts of a run in which nothing went wrong. */
+export const nothingWrong: SafetyCounts = {
+    wrongAnswers: 0,
+    doubledOperations: 0,
+    falseNotRun: 0,
+    overSlotDispatches: 0
+};
+
+/** What an operator sees of one instance. */
+export interface InstanceView {
+    readonly configurationVersion: number;
+    readonly leaseHeld: boolean;
+    readonly services: readonly {
+        readonly servers: readonly { readonly server: string; readonly usableSlots: number; }[];
+    }[];
+}
+
+/** Slots that an instance may fill now. */
+export function usableSlots(view: InstanceView): number {
+    return view.services.flatMap(service => service.servers).reduce((sum, server) => sum + server.usableSlots, 0);
+}
--- a/packages/endivebridge-bench/src/main.ts
+++ b/packages/endivebridge-bench/src/main.ts
@@ -6,7 +6,11 @@
 import { servePassThrough } from "./PassThrough";
 import { reportScenario, type Scenario } from "./ScenarioReport";
 import { headroom } from "./scenarios/Headroom";
+import { leavingServer } from "./scenarios/LeavingServer";
 import { overhead } from "./scenarios/Overhead";
+import { poison } from "./scenarios/Poison";
+import { regionLoss } from "./scenarios/RegionLoss";
+import { silentConnections } from "./scenarios/SilentConnections";
 import { slowServers } from "./scenarios/SlowServers";
 import { stragglers } from "./scenarios/Stragglers";
 
@@ -21,7 +25,16 @@
     { name: "overhead", describe: "Cost against direct and a plain pass-through", seconds: 30, scenario: overhead },
     { name: "slow-servers", describe: "A tenth of the servers ten times slower", seconds: 36, scenario: slowServers },
     { name: "stragglers", describe: "2% of requests twenty times longer", seconds: 36, scenario: stragglers },
-    { name: "headroom", describe: "Load from 50% to 150%", seconds: 36, scenario: headroom }
+    { name: "headroom", describe: "Load from 50% to 150%", seconds: 36, scenario: headroom },
+    { name: "leaving-server", describe: "Servers are listed as leaving", seconds: 16, scenario: leavingServer },
+    {
+        name: "silent-connections",
+        describe: "Open connections to a third of the servers go silent",
+        seconds: 20,
+        scenario: silentConnections
+    },
+    { name: "poison", describe: "Requests that crash their servers", seconds: 20, scenario: poison },
+    { name: "region-loss", describe: "One region is killed and comes back", seconds: 32, scenario: regionLoss }
 ];
 
 function finish(run: Promise<number>): void {
--- /dev/null
+++ b/packages/endivebridge-bench/src/scenarios/Poison.ts
@@ -0,0 +1,78 @@
+import { makeCaller } from "@endivebridge/caller";
+import { tokenHeader } from "@endivebridge/standins";
+import { Effect, Result } from "effect";
+import { clientNetwork, stacklight } from "../Deployment";
+import { labelNamed } from "../LoadPlan";
+import { atLeast, atMost, type Scenario } from "../ScenarioReport";
+import { usualStreams } from "../Streams";
+import type { World } from "../World";
+import { summarizeRun, usualServiceMillis, withWorld } from "./Common";
+
+const load = 0.6;
+const poisonRequests = 3;
+const restartMillis = 2_000;
+const resendsAtMost = 20;
+
+interface PoisonOutcome {
+    readonly region: string;
+    readonly resends: number;
+    readonly refusedAs: string;
+    readonly serversLost: number;
+}
+
+function crashes(world: World): number {
+    return world.records().reduce((sum, record) => sum + record.crashes, 0);
+}
+
+/** Sends one request that crashes its server, again and again until it is refused for good. */
+async function sendPoison(world: World, index: number): Promise<PoisonOutcome> {
+    const region = stacklight.regions[index % stacklight.regions.length]!;
+    const caller = makeCaller({
+        entryAddresses: world.instances.map(instance => instance.callerAddress),
+        localAddress: `${clientNetwork(stacklight, region)}.200.${index + 1}`
+    });
+    const before = crashes(world);
+    let refusedAs = "never refused";
+    let resends = 0;
+    while (refusedAs !== "quarantined" && resends < resendsAtMost) {
+        resends += 1;
+        const result = await Effect.runPromise(Effect.result(caller.send({
+            service: "circulation",
+            method: "GET",
+            path: `/poison/${index}`,
+            headers: () => ({ [tokenHeader]: `poison-${index}` }),
+            idempotent: true,
+            deadlineMillis: 2_000
+        })));
+        refusedAs = Result.isFailure(result) ? result.failure.kind : "answered";
+    }
+    caller.close();
+    return { region, resends, refusedAs, serversLost: crashes(world) - before };
+}
+
+/** Requests that crash their servers, resent by their callers until they are refused. */
+export const poison: Scenario = options =>
+    withWorld({ deployment: stacklight, seed: options.seed, serviceMillis: usualServiceMillis }, async world => {
+        world.backends.forEach(({ standIn }) => standIn.behaviour.restartMillis = restartMillis);
+        const usual = { load, serviceMillis: usualServiceMillis, readsOnly: true, deadlineMillis: 4_000 };
+        const running = world.runLoad(usualStreams(stacklight, usual), { seconds: options.seconds });
+        await new Promise(resolve => setTimeout(resolve, options.seconds * 400));
+        const outcomes: PoisonOutcome[] = [];
+        for (let index = 0; index < poisonRequests; index += 1) {
+            outcomes.push(await sendPoison(world, index));
+        }
+        const result = await running;
+        const all = labelNamed(result, "all");
+        return {
+            results: [{ ...summarizeRun("endivebridge", result), outcomes }],
+            claims: [
+                atMost("servers lost to one poison request", Math.max(...outcomes.map(each => each.serversLost)), 2),
+                atLeast(
+                    "poison requests refused",
+                    outcomes.filter(each => each.refusedAs === "quarantined").length,
+                    poisonRequests
+                ),
+                atLeast("other requests answered", all.answered / all.sent, 0.999)
+            ]
+        };
+    });
--- /dev/null
+++ b/packages/endivebridge-core/src/EndivebridgeShare.ts
@@ -0,0 +1,37 @@
+/** Part of a whole number that falls to one of several holders, by weight; the parts sum to the whole exactly. */
+export function apportion(whole: number, weights: readonly number[], index: number): number {
+    const total = weights.reduce((sum, weight) => sum + weight, 0);
+    if (total === 0 || index < 0) {
+        return 0;
+    }
+    const before = weights.slice(0, index).reduce((sum, weight) => sum + weight, 0);
+    const until = before + (weights[index] ?? 0);
+    return Math.floor((whole * until) / total) - Math.floor((whole * before) / total);
+}
+
+/** A share that falls at once and rises only after every former holder must have let go. */
+export interface CautiousShare {
+    readonly update: (target: number, nowMillis: number) => number;
+}
+
+/** Makes a share that waits `riseAfterMillis` before it rises. */
+export function makeCautiousShare(riseAfterMillis: number): CautiousShare {
+    let current = 0;
+    let started = false;
+    let target = 0;
+    let targetSinceMillis = 0;
+    return {
+        update: (next, nowMillis) => {
+            if (next !== target || !started) {
+                target = next;
+                targetSinceMillis = nowMillis;
+            }
+            // The first share of a process waits too: an earlier incarnation's admissions may be a moment old.
+            started = true;
+            if (target < current || nowMillis - targetSinceMillis >= riseAfterMillis) {
+                current = target;
+            }
+            return current;
+        }
+    };
+}
--- a/packages/endivebridge-core/src/index.ts
+++ b/packages/endivebridge-core/src/index.ts
@@ -31,6 +31,7 @@
     unownedSlots
 } from "./EndivebridgeAssignment";
 export { type ClientBlock, type ClientBlocks, makeClientBlocks, parseAddress } from "./EndivebridgeClientBlocks";
+export { compareEventTimes, type EventClock, type EventTime, makeEventClock } from "./EndivebridgeClock";
 export {
     type ErrorAnswer,
     errorAnswers,
@@ -62,6 +63,7 @@
 export { formatOperationPrefix, type OperationId, parseOperationId } from "./EndivebridgeOperation";
 export { makePoisonList, type PoisonList, type StruckRequest } from "./EndivebridgePoison";
 export { type LearnedQuantile, makeLearnedQuantile } from "./EndivebridgeQuantile";
+export { apportion, type CautiousShare, makeCautiousShare } from "./EndivebridgeShare";
 export {
     type HeldSlot,
     makeSlotPool,
--- a/packages/endivebridge-daemon/src/CallerRequest.ts
+++ b/packages/endivebridge-daemon/src/CallerRequest.ts
@@ -93,9 +93,10 @@
     return Effect.succeed(Math.min(Number(text), definition.maximumDeadlineMillis));
 }
 
-function readBody(
+/** Reads a body whole, up to a limit. */
+export function readBody(
     incoming: IncomingMessage,
-    head: RequestHead,
+    head: Pick<RequestHead, "contentLength" | "chunked">,
     mostBytes: number
 ): Effect.Effect<Buffer, SteeringError> {
     if (Number(head.contentLength ?? 0) > mostBytes) {
--- a/packages/endivebridge-daemon/src/CallerServer.ts
+++ b/packages/endivebridge-daemon/src/CallerServer.ts
@@ -61,6 +61,8 @@
             const { kind, detail } = result.failure;
             context.metrics.count("errors", { kind });
             if (errorAnswers[kind].ran !== "no") {
+                const operation = String(incoming.headers["endivebridge-operation"] ?? "");
+                context.timeLine.emit({ kind: "requestInDoubt", request, error: kind, operation });
                 context.log.warn({ request, kind, detail, target: incoming.url }, "request in doubt");
             }
             return errorAnswer(result.failure, request);
--- a/packages/endivebridge-daemon/src/ConfigurationTask.ts
+++ b/packages/endivebridge-daemon/src/ConfigurationTask.ts
@@ -10,7 +10,7 @@
 }
 
 /** Puts a configuration in force unless this instance already has it or a later one. */
-export function applyConfiguration(context: Context, version: number, text: string): boolean {
+export function applyConfiguration(context: Context, version: number, text: string, from: string): boolean {
     const current = context.configuration.read();
     if (version <= (current?.version ?? 0)) {
         return false;
@@ -25,7 +25,8 @@
     context.clientBlocks.current = makeClientBlocks(document.clientBlocks);
     context.configuration.update(() => ({ version, document, text, inForceSinceMillis: monotonicMillis() }));
     context.metrics.gauge("configuration_version", version);
-    context.log.info({ version }, "configuration in force");
+    context.timeLine.emit({ kind: "configurationInForce", version, from });
+    context.log.info({ version, from }, "configuration in force");
     return true;
 }
 
@@ -36,7 +37,7 @@
             const rows = yield* context.platform.scanRows("configuration/");
             const last = rows[rows.length - 1];
             if (last !== undefined) {
-                applyConfiguration(context, Number(last.key.split("/")[1]), rowText(last.value));
+                applyConfiguration(context, Number(last.key.split("/")[1]), rowText(last.value), "platform");
             }
             return;
         }
@@ -45,7 +46,7 @@
             if (row === undefined) {
                 return;
             }
-            applyConfiguration(context, version, rowText(row.value));
+            applyConfiguration(context, version, rowText(row.value), "platform");
         }
     });
 
--- a/packages/endivebridge-daemon/src/Context.ts
+++ b/packages/endivebridge-daemon/src/Context.ts
@@ -1,5 +1,6 @@
 import type {
     AssignmentRow,
+    CautiousShare,
     ClientBlocks,
     Journal,
     LearnedQuantile,
@@ -20,6 +21,7 @@
 import type { Metrics } from "./Metrics";
 import type { Peer } from "./Peer";
 import type { Answer } from "./SteeringRequest";
+import type { TimeLine } from "./TimeLine";
 
 /** Configuration in force on this instance. */
 export interface ConfigurationInForce {
@@ -48,7 +50,10 @@
     readonly pool: SlotPool;
     readonly retries: ShareBudget;
     readonly hedges: ShareBudget;
+    /** Requests from other regions that began in the last second. */
     readonly inflow: SecondWindow;
+    /** This instance's part of the cap on them; undefined without a cap. */
+    readonly inflowShare: { current: number | undefined; readonly cautious: CautiousShare; };
     /** Calls to peers that said they were full. */
     readonly tries: TryBudget;
     /** Times of whole answers of own servers. */
@@ -61,6 +66,7 @@
     readonly incarnation: string;
     readonly log: Log;
     readonly metrics: Metrics;
+    readonly timeLine: TimeLine;
     readonly platform: PlatformClient;
     readonly connections: BackendConnections;
     readonly journal: Journal<Answer>;
--- a/packages/endivebridge-daemon/src/Daemon.ts
+++ b/packages/endivebridge-daemon/src/Daemon.ts
@@ -1,4 +1,5 @@
 import {
+    makeCautiousShare,
     makeClientBlocks,
     makeJournal,
     makeLearnedQuantile,
@@ -26,6 +27,7 @@
 import { leaveOwnership, ownershipTask } from "./OwnershipTask";
 import { openPeerServer } from "./PeerServer";
 import { registerPeerTasks } from "./PeerTask";
+import { makeTimeLine } from "./TimeLine";
 
 // Resumed tasks run at the end of the current event, not after the next poll for events.
 const soonScheduler = new Scheduler.MixedScheduler("async", task => {
@@ -38,6 +40,7 @@
 
 const journalCapacity = 200_000;
 const lookAgainMillis = 25;
+const windowMillis = 1_000;
 const triesPerSecond = 20;
 const mostTries = 10;
 
@@ -55,6 +58,7 @@
         incarnation: randomBytes(6).toString("hex"),
         log: makeLog("endivebridged", settings.instance, settings.logLevel),
         metrics: makeMetrics(settings.metrics, settings.instance),
+        timeLine: makeTimeLine(settings.instance),
         platform: makePlatformClient(settings.platform),
         connections: makeBackendConnections({
             connectionsPerServer: settings.limits.connectionsPerServer,
@@ -92,6 +96,10 @@
         retries: makeShareBudget(() => definition()?.retryShare ?? 0),
         hedges: makeShareBudget(() => definition()?.hedgeShare ?? 0),
         inflow: makeSecondWindow(),
+        inflowShare: {
+            current: 0,
+            cautious: makeCautiousShare(context.settings.timing.leaseMillis + windowMillis)
+        },
         tries: makeTryBudget(triesPerSecond, mostTries),
         answerTimes: makeLearnedQuantile()
     };
@@ -153,10 +161,12 @@
         stopTasks
     );
     context.log.info({ callers: settings.callers, peers: settings.peers, incarnation: context.incarnation }, "started");
+    context.timeLine.emit({ kind: "started", incarnation: context.incarnation });
     const shutDown = async () => {
         const untilMillis = monotonicMillis() + settings.timing.drainMillis;
         context.log.info("shutting down");
         context.shutdown.update(() => true);
+        context.timeLine.emit({ kind: "shuttingDown" });
         const stillOpen = () => callerServer.open() > 0 || inFlight(context) > 0;
         await finishExchanges(stillOpen, callerServer.drain, untilMillis);
         callerServer.close();
--- a/packages/endivebridge-daemon/src/Heartbeat.ts
+++ b/packages/endivebridge-daemon/src/Heartbeat.ts
@@ -7,6 +7,7 @@
 } from "@endivebridge/protocol";
 import { monotonicMillis } from "@endivebridge/shared";
 import type { Context, ServiceState } from "./Context";
+import { freeInflow } from "./Inflow";
 import type { Peer } from "./Peer";
 import { ownServiceMillis } from "./ServiceTimes";
 
@@ -18,6 +19,7 @@
         ownedSlots: service.pool.usableSlots(),
         waiting: service.pool.waiting(),
         setAsideSlots: service.pool.setAsideSlots(),
+        freeInflow: freeInflow(service),
         serviceMicros: Math.round((ownServiceMillis(service) ?? 0) * 1_000)
     };
 }
@@ -33,6 +35,7 @@
         leaving: context.shutdown.read(),
         struckRequests: [...context.poison.struck(monotonicMillis())],
         assignmentVersion: context.assignment.read()?.version ?? 0,
+        time: context.timeLine.clock.now(),
         loads: [...context.services.values()].map(describeLoad)
     });
 }
@@ -41,6 +44,7 @@
 export function noteLoad(peer: Peer, load: ServiceLoad): void {
     peer.loads.set(load.service, {
         freeSlots: load.freeSlots,
+        freeInflow: load.freeInflow,
         ownedSlots: load.ownedSlots,
         waiting: load.waiting,
         setAsideSlots: load.setAsideSlots,
@@ -50,9 +54,16 @@
 
 /** Takes in what a peer said of itself, whichever side of the heartbeat it came from. */
 export function notePeer(
+    context: Context,
     peer: Peer,
-    said: Pick<HeartbeatRequest, "incarnation" | "configurationVersion" | "mintEpoch">
+    said: Pick<HeartbeatRequest, "incarnation" | "configurationVersion" | "mintEpoch" | "time">
 ): void {
+    if (said.time !== undefined) {
+        context.timeLine.clock.observe(said.time);
+    }
+    if (peer.incarnation !== said.incarnation) {
+        context.timeLine.emit({ kind: "peerHeard", peer: peer.instance, incarnation: said.incarnation });
+    }
     peer.incarnation = said.incarnation;
     peer.configurationVersion = said.configurationVersion;
     peer.mintEpoch = said.mintEpoch;
@@ -93,7 +104,7 @@
 ): MessageInitShape<typeof HeartbeatResponseSchema> {
     const peer = context.peers.get(request.instance);
     if (peer !== undefined) {
-        notePeer(peer, request);
+        notePeer(context, peer, request);
         noteLoads(context, peer, request);
     }
     return {
@@ -101,6 +112,7 @@
         incarnation: context.incarnation,
         configurationVersion: context.configuration.read()?.version ?? 0,
         mintEpoch: context.journal.currentEpoch(),
+        time: context.timeLine.clock.now(),
         leaseMillis: promiseMillis(context, peer, request),
         assignmentVersion: context.assignment.read()?.version ?? 0
     };
--- a/packages/endivebridge-daemon/src/Lookup.ts
+++ b/packages/endivebridge-daemon/src/Lookup.ts
@@ -1,6 +1,7 @@
 import {
     formatOperationPrefix,
     type LookupCandidate,
+    type LookupQuestion,
     orderInstances,
     type SteeringError,
     steeringError
@@ -32,7 +33,8 @@
     readonly configurationVersion: number;
 }
 
-function hash(text: string): number {
+/** Stable number in [0, 1) for a text. */
+export function lookupHash(text: string): number {
     return h32(text) / 4_294_967_296;
 }
 
@@ -59,6 +61,11 @@
     return context.clientBlocks.current.regionOf(client) ?? context.settings.region;
 }
 
+/** The question that a look-up asks of the candidates. */
+export function lookupQuestion(context: Context, service: string, client: string): LookupQuestion {
+    return { client, service, homeRegion: homeRegion(context, client), mostInstances };
+}
+
 function mintPrefix(context: Context, instance: string): string {
     const isSelf = instance === context.settings.instance;
     const peer = context.peers.get(instance);
@@ -80,8 +87,8 @@
         return Effect.fail(steeringError("unknownService", service.slice(0, 64)));
     }
     const region = homeRegion(context, client);
-    const question = { client, service, homeRegion: region, mostInstances };
-    const ordered = orderInstances(lookupCandidates(context, service), question, hash);
+    const question = lookupQuestion(context, service, client);
+    const ordered = orderInstances(lookupCandidates(context, service), question, lookupHash);
     if (ordered.length === 0) {
         return Effect.fail(steeringError("notReady", "no entry instance is known"));
     }
--- a/packages/endivebridge-daemon/src/OperatorApi.ts
+++ b/packages/endivebridge-daemon/src/OperatorApi.ts
@@ -1,48 +1,108 @@
-import { steeringError } from "@endivebridge/core";
-import { Effect } from "effect";
+import { orderInstances, type SteeringError, steeringError } from "@endivebridge/core";
+import { Effect, Result, Schema } from "effect";
 import type { IncomingMessage } from "node:http";
 import { errorAnswer, jsonAnswer } from "./Answers";
+import { readBody } from "./CallerRequest";
 import type { Context } from "./Context";
+import { describeInstance } from "./Describe";
 import { isRightKey } from "./Keys";
+import { homeRegion, lookupCandidates, lookupHash, lookupQuestion } from "./Lookup";
+import { AcceptConfiguration, acceptConfiguration } from "./OperatorCommands";
+import type { Peer } from "./Peer";
 import type { Answer } from "./SteeringRequest";
 
+const peerTimeoutMillis = 1_500;
+const commandBytes = 4 * 1_048_576;
+
 function shownKey(incoming: IncomingMessage): string {
     return (incoming.headers.authorization ?? "").replace(/^Bearer /, "");
 }
 
-function describeInstance(context: Context) {
-    const configuration = context.configuration.read();
-    const { usage } = { usage: process.cpuUsage() };
-    return {
-        instance: context.settings.instance,
-        incarnation: context.incarnation,
-        failureDomain: context.settings.failureDomain,
-        region: context.settings.region,
-        configurationVersion: configuration?.version ?? 0,
-        leaseHeld: context.lease.holds(performance.now()),
-        cpuMicros: usage.user + usage.system,
-        residentBytes: process.memoryUsage.rss(),
-        journalEntries: context.journal.size(),
-        peers: [...context.peers.values()].map(peer => ({
-            instance: peer.instance,
-            incarnation: peer.incarnation,
-            failing: peer.failing,
-            leaving: peer.leaving,
-            heardMillisAgo: Math.round(performance.now() - peer.heardAtMillis)
-        })),
-        services: [...context.services.values()].map(service => ({
-            service: service.service,
-            waiting: service.pool.waiting(),
-            servers: service.pool.servers().map(owned => ({
-                server: owned.server,
-                usableSlots: owned.usableSlots,
-                inFlight: owned.inFlight,
-                latencyMillis: owned.latency.estimateMillis ?? 0,
-                leaving: owned.leaving
-            }))
-        })),
-        totals: context.metrics.totals()
-    };
+interface PeerAnswer {
+    readonly instance: string;
+    readonly text: string | undefined;
+}
+
+const askPeer = (peer: Peer, eventsAfter: number | undefined, pick: "instance" | "events"): Effect.Effect<PeerAnswer> =>
+    Effect.tryPromise(signal => peer.client.describe({ eventsAfter }, { signal, timeoutMs: peerTimeoutMillis })).pipe(
+        Effect.map(answer => ({ instance: peer.instance, text: answer[pick] })),
+        Effect.catch(() => Effect.succeed({ instance: peer.instance, text: undefined }))
+    );
+
+/** Asks every known instance; says which could not be reached and how long ago each was heard. */
+const describeSystem = (context: Context) =>
+    Effect.gen(function*() {
+        const peers = [...context.peers.values()];
+        const answers = yield* Effect.forEach(peers, peer => askPeer(peer, undefined, "instance"), {
+            concurrency: "unbounded"
+        });
+        const reached = answers.flatMap(each => each.text === undefined ? [] : [JSON.parse(each.text) as unknown]);
+        const unreachable = answers.filter(each => each.text === undefined).map(each => ({
+            instance: each.instance,
+            heardMillisAgo: Math.round(performance.now() - (context.peers.get(each.instance)?.heardAtMillis ?? 0))
+        }));
+        return { instances: [describeInstance(context), ...reached], unreachable };
+    });
+
+const collectEvents = (context: Context, after: number) =>
+    Effect.gen(function*() {
+        const peers = [...context.peers.values()];
+        const answers = yield* Effect.forEach(peers, peer => askPeer(peer, after, "events"), {
+            concurrency: "unbounded"
+        });
+        const theirs = answers.flatMap(each => each.text === undefined ? [] : JSON.parse(each.text) as unknown[]);
+        const unreachable = answers.filter(each => each.text === undefined).map(each => each.instance);
+        return { events: [...context.timeLine.after(after), ...theirs], unreachable };
+    });
+
+function explainLookup(context: Context, url: URL) {
+    const service = url.searchParams.get("service") ?? "";
+    const client = url.searchParams.get("client") ?? "";
+    const candidates = lookupCandidates(context, service);
+    const question = lookupQuestion(context, service, client);
+    const chosen = orderInstances(candidates, question, lookupHash).map(each => each.instance);
+    const passedOver = candidates.filter(each => !chosen.includes(each.instance)).map(each => ({
+        instance: each.instance,
+        reason: each.leaving ? "leaving" : !each.reachable ? "not reachable from here" : "ranked lower"
+    }));
+    return { service, client, homeRegion: homeRegion(context, client), chosen, passedOver };
+}
+
+const runCommand = (context: Context, incoming: IncomingMessage): Effect.Effect<Answer, SteeringError> =>
+    Effect.gen(function*() {
+        const contentLength = incoming.headers["content-length"];
+        const body = yield* readBody(incoming, { contentLength, chunked: contentLength === undefined }, commandBytes);
+        const decoded = Schema.decodeUnknownResult(Schema.fromJsonString(AcceptConfiguration))(body.toString());
+        if (Result.isFailure(decoded)) {
+            return yield* Effect.fail(steeringError("badRequest", String(decoded.failure).slice(0, 400)));
+        }
+        const outcome = yield* acceptConfiguration(context, decoded.success);
+        const failed = outcome.outcome === "unavailable" ? 503 : 409;
+        return jsonAnswer(outcome.outcome === "accepted" || outcome.outcome === "valid" ? 200 : failed, outcome);
+    });
+
+function answerQuery(context: Context, name: string, url: URL): Effect.Effect<Answer, SteeringError> {
+    switch (name) {
+        case "operator/instance":
+            return Effect.succeed(jsonAnswer(200, describeInstance(context)));
+        case "operator/system":
+            return Effect.map(describeSystem(context), system => jsonAnswer(200, system));
+        case "operator/configuration": {
+            const configuration = context.configuration.read();
+            return Effect.succeed(
+                jsonAnswer(200, { version: configuration?.version ?? 0, text: configuration?.text ?? "" })
+            );
+        }
+        case "operator/events":
+            return Effect.map(
+                collectEvents(context, Number(url.searchParams.get("after") ?? 0)),
+                found => jsonAnswer(200, found)
+            );
+        case "operator/explain-lookup":
+            return Effect.succeed(jsonAnswer(200, explainLookup(context, url)));
+        default:
+            return Effect.fail(steeringError("badRequest", "no such end point"));
+    }
 }
 
 /** Answers an operator's call; every one needs the operators' key. */
@@ -50,8 +110,9 @@
     if (!isRightKey(shownKey(incoming), context.settings.keys.operator)) {
         return Effect.succeed(errorAnswer(steeringError("unauthorized"), ""));
     }
-    if (name === "operator/instance") {
-        return Effect.succeed(jsonAnswer(200, describeInstance(context)));
-    }
-    return Effect.succeed(errorAnswer(steeringError("badRequest", "no such end point"), ""));
+    const url = new URL(incoming.url ?? "/", "http://instance");
+    const answer = name === "operator/command" && incoming.method === "POST"
+        ? runCommand(context, incoming)
+        : answerQuery(context, name, url);
+    return Effect.catch(answer, error => Effect.succeed(errorAnswer(error, "")));
 }
--- /dev/null
+++ b/packages/endivebridge-daemon/src/OperatorCommands.ts
@@ -0,0 +1,77 @@
+import type { PlatformFailure } from "@endivebridge/platform";
+import { describeFaults, type DocumentFault, parseConfiguration } from "@endivebridge/settings";
+import { Effect, Result, Schema } from "effect";
+import { applyConfiguration, configurationKey, rowText } from "./ConfigurationTask";
+import type { Context } from "./Context";
+
+/** Schema of the command that accepts a configuration. */
+export const AcceptConfiguration = Schema.Struct({
+    /** Version that the operator saw; the command is refused when another has come since. */
+    basedOnVersion: Schema.Int,
+    text: Schema.String,
+    author: Schema.String.check(Schema.isMinLength(1), Schema.isMaxLength(128)),
+    dryRun: Schema.Boolean
+});
+
+/** What became of a command. */
+export type CommandOutcome =
+    | { readonly outcome: "accepted"; readonly version: number; }
+    | { readonly outcome: "valid"; readonly version: number; }
+    | { readonly outcome: "invalid"; readonly faults: string; }
+    | { readonly outcome: "conflict"; readonly version: number; readonly author: string; readonly text: string; }
+    | { readonly outcome: "unavailable"; readonly detail: string; };
+
+interface ConfigurationRow {
+    readonly text: string;
+    readonly author: string;
+}
+
+function describeFailure(context: Context, version: number, failure: PlatformFailure): CommandOutcome {
+    if (failure.kind === "conflict" && failure.row !== undefined) {
+        const winner = failure.row.value as ConfigurationRow;
+        applyConfiguration(context, version, rowText(winner), "platform");
+        return { outcome: "conflict", version, author: winner.author, text: winner.text };
+    }
+    return { outcome: "unavailable", detail: failure.kind === "conflict" ? "row vanished" : failure.detail };
+}
+
+/** Accepts a configuration as the version after the one the operator saw; at most one such command wins. */
+export const acceptConfiguration = (
+    context: Context,
+    command: typeof AcceptConfiguration.Type
+): Effect.Effect<CommandOutcome> =>
+    Effect.gen(function*() {
+        const parsed = parseConfiguration(command.text);
+        if (parsed.isLeft()) {
+            const faults = describeFaults("configuration", parsed.extract() as readonly DocumentFault[]);
+            return { outcome: "invalid", faults };
+        }
+        const version = command.basedOnVersion + 1;
+        if (command.dryRun) {
+            return { outcome: "valid", version };
+        }
+        // A version is inserted only after the one before it, so that readers who count up miss none.
+        const before = command.basedOnVersion === 0
+            ? Result.succeed(true)
+            : yield* Effect.result(
+                Effect.map(context.platform.readRow(configurationKey(command.basedOnVersion)), row => row !== undefined)
+            );
+        if (Result.isFailure(before)) {
+            return { outcome: "unavailable", detail: "the version before cannot be read" };
+        }
+        if (!before.success) {
+            return { outcome: "invalid", faults: `there is no version ${command.basedOnVersion}` };
+        }
+        const written = yield* Effect.result(context.platform.writeRow(configurationKey(version), 0, {
+            text: command.text,
+            author: command.author,
+            acceptedAtEpochMillis: Date.now(),
+            previousVersion: command.basedOnVersion
+        }));
+        if (Result.isFailure(written)) {
+            return describeFailure(context, version, written.failure);
+        }
+        applyConfiguration(context, version, command.text, "command");
+        context.log.info({ version, author: command.author }, "configuration accepted");
+        return { outcome: "accepted", version };
+    });
--- a/packages/endivebridge-daemon/src/OwnershipTask.ts
+++ b/packages/endivebridge-daemon/src/OwnershipTask.ts
@@ -19,6 +19,7 @@
 import { Effect, Result, Schema } from "effect";
 import { adoptedSlots, type Adoptions, noteAdoptions } from "./Adoption";
 import type { AssignmentSeen, Context } from "./Context";
+import { updateInflowShares } from "./Inflow";
 
 const expelMargin = 1.1;
 
@@ -27,6 +28,7 @@
     /** Slots that are being given up, by server: not filled again, released once idle. */
     readonly giving: Map<string, number>;
     readonly adoptions: Adoptions;
+    leaseHeld: boolean;
     /** Monotonic time at which a member was first seen suspected, by instance. */
     readonly suspectedSinceMillis: Map<string, number>;
     /** Monotonic time at which a member was first seen at all, by instance. */
@@ -57,6 +59,7 @@
     const row = context.assignment.read()?.row ?? emptyAssignment;
     const held = heldSlots(row, context.settings.instance);
     const listed = new Map(context.instances.read().servers.map(each => [each.instance, each]));
+    updateInflowShares(context);
     for (const service of context.services.values()) {
         const slots = [...held].flatMap(([server, count]) => {
             const entry = listed.get(server);
@@ -67,7 +70,13 @@
             const usableSlots = Math.max(0, kept - adoptedSlots(context, ownership.adoptions, service, server));
             return [{ server, address: entry.address, usableSlots, leaving: entry.state === "leaving" }];
         });
+        const before = service.pool.usableSlots();
         service.pool.assign(slots);
+        const usableSlots = service.pool.usableSlots();
+        if (usableSlots !== before) {
+            const rowVersion = context.assignment.read()?.version ?? 0;
+            context.timeLine.emit({ kind: "slotsChanged", service: service.service, usableSlots, rowVersion });
+        }
         context.metrics.gauge("owned_slots", service.pool.usableSlots(), { service: service.service });
     }
 }
@@ -116,6 +125,7 @@
             ownership.suspectedSinceMillis.delete(member.instance);
             if (silence > leaseMillis / 2) {
                 context.log.warn({ member: member.instance, silence }, "sibling suspected");
+                context.timeLine.emit({ kind: "siblingSuspected", sibling: member.instance });
                 next = suspectMember(next, member.instance, context.settings.instance);
             }
             continue;
@@ -126,6 +136,7 @@
         const waitMillis = leaseMillis * expelMargin;
         if (nowMillis - since > waitMillis && nowMillis - promisedAtMillis > waitMillis) {
             context.log.warn({ member: member.instance }, "sibling expelled, its slots are free");
+            context.timeLine.emit({ kind: "siblingExpelled", sibling: member.instance });
             next = expelMember(next, member.instance);
         }
     }
@@ -192,6 +203,15 @@
         }
     });
 
+/** Tells the time line where the lease was lost or came back. */
+function noteLease(context: Context, ownership: Ownership): void {
+    const held = context.lease.holds(monotonicMillis());
+    if (held !== ownership.leaseHeld) {
+        ownership.leaseHeld = held;
+        context.timeLine.emit({ kind: held ? "leaseHeld" : "leaseLapsed" });
+    }
+}
+
 /** Extends the lease without the platform, from siblings' promises or from isolation. */
 function evaluateLease(context: Context): void {
     const members = context.assignment.read()?.row.members ?? [];
@@ -212,6 +232,7 @@
         const ownership: Ownership = {
             giving: new Map(),
             adoptions: new Map(),
+            leaseHeld: false,
             suspectedSinceMillis: new Map(),
             memberSinceMillis: new Map()
         };
@@ -221,6 +242,7 @@
                 evaluateLease(context);
             }
             applyAssignment(context, ownership);
+            noteLease(context, ownership);
             yield* Effect.sleep(context.settings.timing.assignmentMillis * (0.9 + Math.random() * 0.2));
         }
     });
--- a/packages/endivebridge-daemon/src/Peer.ts
+++ b/packages/endivebridge-daemon/src/Peer.ts
@@ -4,6 +4,8 @@
 /** What a peer last said of one service. */
 export interface PeerLoad {
     freeSlots: number;
+    /** Requests from other regions that it may still begin in the current second. */
+    readonly freeInflow: number;
     readonly ownedSlots: number;
     readonly waiting: number;
     readonly setAsideSlots: number;
--- a/packages/endivebridge-daemon/src/PeerServer.ts
+++ b/packages/endivebridge-daemon/src/PeerServer.ts
@@ -7,6 +7,7 @@
 import { Effect, Result } from "effect";
 import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
 import type { Context, ServiceState } from "./Context";
+import { describeInstance } from "./Describe";
 import { answerHeartbeat, describeLoad } from "./Heartbeat";
 import { isRightKey } from "./Keys";
 import { runOwnedOperation } from "./Operations";
@@ -111,6 +112,12 @@
                 }
                 return serveOperation(context, message.request);
             },
+            describe: request => ({
+                instance: JSON.stringify(describeInstance(context)),
+                events: request.eventsAfter === undefined
+                    ? ""
+                    : JSON.stringify(context.timeLine.after(request.eventsAfter))
+            }),
             readConfiguration: () => {
                 const configuration = context.configuration.read();
                 return { version: configuration?.version ?? 0, text: configuration?.text ?? "" };
--- a/packages/endivebridge-daemon/src/PeerTask.ts
+++ b/packages/endivebridge-daemon/src/PeerTask.ts
@@ -76,7 +76,7 @@
 const fetchConfiguration = (context: Context, peer: Peer) =>
     Effect.gen(function*() {
         const read = yield* Effect.promise(() => peer.client.readConfiguration({}, { timeoutMs: 2_000 }));
-        applyConfiguration(context, read.version, read.text);
+        applyConfiguration(context, read.version, read.text, peer.instance);
     });
 
 const beatOnce = (context: Context, peer: Peer) =>
@@ -87,7 +87,7 @@
             peer.client.heartbeat(makeHeartbeat(context), { signal, timeoutMs })
         );
         peer.failing = false;
-        notePeer(peer, answer);
+        notePeer(context, peer, answer);
         if (answer.leaseMillis > 0 && answer.assignmentVersion <= (context.assignment.read()?.version ?? 0)) {
             context.lease.confirmBySibling(peer.instance, sentAtMillis, answer.leaseMillis);
         }
@@ -96,6 +96,13 @@
         }
     });
 
+function noteSilent(context: Context, peer: Peer): void {
+    if (!peer.failing && peer.incarnation !== "") {
+        context.timeLine.emit({ kind: "peerSilent", peer: peer.instance });
+    }
+    peer.failing = true;
+}
+
 /** Keeps in touch with one peer until interrupted. */
 export const peerTask = (context: Context, peer: Peer): Effect.Effect<never> =>
     Effect.gen(function*() {
@@ -104,7 +111,7 @@
                 Effect.catchCause(beatOnce(context, peer), () => Effect.fail("failed"))
             );
             if (Result.isFailure(result)) {
-                peer.failing = true;
+                noteSilent(context, peer);
                 context.log.debug({ peer: peer.instance }, "heartbeat failed");
             }
             yield* Effect.sleep(intervalTo(context, peer) * (0.9 + Math.random() * 0.2));
--- a/packages/endivebridge-daemon/src/PlaceRequest.ts
+++ b/packages/endivebridge-daemon/src/PlaceRequest.ts
@@ -11,7 +11,7 @@
 import { Effect, Result } from "effect";
 import type { Context, ServiceState } from "./Context";
 import { forwardRequest } from "./ForwardRequest";
-import { admitInflow } from "./Inflow";
+import { enter, mayEnter } from "./Inflow";
 import type { Peer } from "./Peer";
 import { usualServiceMillis } from "./ServiceTimes";
 import type { Answer, SteeringRequest } from "./SteeringRequest";
@@ -40,12 +40,21 @@
     return peer.region === context.settings.region ? 1 : 2;
 }
 
+/** Requests from a region that a peer said it could begin at once. */
+function freeFor(peer: Peer, service: string, sourceRegion: string): number {
+    const load = peer.loads.get(service);
+    if (load === undefined) {
+        return 0;
+    }
+    return peer.region === sourceRegion ? load.freeSlots : Math.min(load.freeSlots, load.freeInflow);
+}
+
 /**
  * Peers that may have a free slot, nearest first. What they last said is old by up to a heartbeat, so the region's
  * peers that said they were full come too, after the others; a budget bounds the calls in vain.
  */
-export function peersToTry(context: Context, service: string): readonly Peer[] {
-    const free = (peer: Peer) => peer.loads.get(service)?.freeSlots ?? 0;
+export function peersToTry(context: Context, service: string, sourceRegion: string): readonly Peer[] {
+    const free = (peer: Peer) => freeFor(peer, service, sourceRegion);
     const usable = [...context.peers.values()].filter(peer =>
         !peer.leaving && !peer.failing && (peer.loads.get(service)?.ownedSlots ?? 0) > 0
     );
@@ -77,11 +86,11 @@
     tried: Set<string>,
     doubt: Doubt
 ) => Effect.gen(function*() {
-    const peers = peersToTry(context, service.service).filter(peer => !tried.has(peer.instance));
+    const peers = peersToTry(context, service.service, request.sourceRegion).filter(peer => !tried.has(peer.instance));
     for (const peer of peers) {
         tried.add(peer.instance);
         const load = peer.loads.get(service.service);
-        const saidFree = load !== undefined && load.freeSlots > 0;
+        const saidFree = load !== undefined && freeFor(peer, service.service, request.sourceRegion) > 0;
         if (!saidFree && !service.tries.trySpend(monotonicMillis())) {
             continue;
         }
@@ -121,10 +130,11 @@
         let admitted = false;
         const arrivedAtMillis = monotonicMillis();
         const mayProbe = request.idempotent && !request.forwarded;
-        const ownAllowed = admitInflow(context, service, request);
         for (;;) {
-            const slot = ownAllowed ? service.pool.tryAcquire(excluded, { mayProbe, lastResort: false }) : undefined;
+            const mayUseOwn = mayEnter(context, service, request);
+            const slot = mayUseOwn ? service.pool.tryAcquire(excluded, { mayProbe, lastResort: false }) : undefined;
             if (slot !== undefined) {
+                enter(context, service, request);
                 context.metrics.timing("queue_wait_millis", monotonicMillis() - arrivedAtMillis, {
                     service: service.service
                 });
@@ -137,7 +147,7 @@
             if (answer !== undefined) {
                 return { kind: "answered", answer };
             }
-            if (!ownAllowed) {
+            if (!mayUseOwn) {
                 return yield* refuse("capReached", "");
             }
             const placed = admitted || isWaitWorthwhile(context, service, request)
@@ -145,6 +155,10 @@
                 : yield* takeLastResort(service, excluded);
             admitted = true;
             if (placed.kind === "slot") {
+                if (!enter(context, service, request)) {
+                    placed.slot.release();
+                    return yield* refuse("capReached", "");
+                }
                 context.metrics.timing("queue_wait_millis", monotonicMillis() - arrivedAtMillis, {
                     service: service.service
                 });
--- a/packages/endivebridge-daemon/src/Poison.ts
+++ b/packages/endivebridge-daemon/src/Poison.ts
@@ -14,7 +14,8 @@
 }
 
 /** Counts a server that died under a request, and tells every peer at once: its caller will send it again. */
-export function strikeRequest(context: Context, request: SteeringRequest): void {
+export function strikeRequest(context: Context, request: SteeringRequest, server: string): void {
+    context.timeLine.emit({ kind: "serverDied", server, request: request.request });
     const quarantined = context.poison.strike(requestFingerprint(request), monotonicMillis());
     context.log.warn({ request: request.request, service: request.service, quarantined }, "server died under request");
     const heartbeat = makeHeartbeat(context);
--- a/packages/endivebridge-daemon/src/RunRequest.ts
+++ b/packages/endivebridge-daemon/src/RunRequest.ts
@@ -29,7 +29,11 @@
         cancelHoldMillis: context.settings.timing.cancelHoldMillis,
         lateAfterMillis: lateAfterMillis(context, service),
         onLate: onReusedConnection => {
+            const wasAside = health.setAside;
             noteLate(health, monotonicMillis(), () => maySetAside(context, service, usableSlots));
+            if (health.setAside && !wasAside) {
+                context.timeLine.emit({ kind: "serverSetAside", server });
+            }
             // The connection may have gone silent, and with it every other one that waits for use.
             if (onReusedConnection) {
                 context.connections.dropIdle(server);
@@ -39,7 +43,11 @@
             const nowMillis = monotonicMillis();
             service.answerTimes.record(tookMillis, nowMillis);
             if (!wasLate) {
+                const wasAside = health.setAside;
                 noteInTime(health, nowMillis);
+                if (wasAside && !health.setAside) {
+                    context.timeLine.emit({ kind: "serverLetBack", server });
+                }
             }
         }
     };
@@ -160,7 +168,7 @@
             passOver(service, failure);
             doubt.mayHaveRun ||= failure.ran !== "no";
             if (failure.reason === "cut") {
-                strikeRequest(context, request);
+                strikeRequest(context, request, failure.server);
             }
             if (attempt >= attemptsAtMost || !mayRetry(service, request, failure)) {
                 const detail = `server ${failure.server}: ${failure.reason}`;
