--- a/packages/endivebridge-core/src/EndivebridgeJournal.ts
+++ b/packages/endivebridge-core/src/EndivebridgeJournal.ts
@@ -19,6 +19,14 @@
     readonly mintEpoch: number;
     readonly deferred: Deferred.Deferred<OperationOutcome<Answer>>;
     outcome: OperationOutcome<Answer> | undefined;
+    saved: boolean;
+}
+
+/** An operation that ended, as it is kept beyond this process. */
+export interface EndedOperation<Answer> {
+    readonly operation: string;
+    readonly fingerprint: string;
+    readonly outcome: OperationOutcome<Answer>;
 }
 
 /** Memory of the operations that this incarnation owns. */
@@ -26,6 +34,10 @@
     readonly begin: (text: string, id: OperationId, fingerprint: string) => OperationEntry<Answer>;
     readonly currentEpoch: () => number;
     readonly forgetOld: () => void;
+    readonly knows: (text: string) => boolean;
+    /** Ended operations that are not saved yet, the oldest first. */
+    readonly unsaved: (most: number) => readonly EndedOperation<Answer>[];
+    readonly markSaved: (operations: readonly string[]) => void;
     readonly size: () => number;
     readonly inDoubt: () => readonly string[];
 }
@@ -50,7 +62,8 @@
             fingerprint,
             mintEpoch: id.mintEpoch,
             deferred: Deferred.makeUnsafe(),
-            outcome: undefined
+            outcome: undefined,
+            saved: false
         };
         remembered.set(text, entry);
         const finish = (outcome: OperationOutcome<Answer>, ran: boolean) => {
@@ -94,6 +107,27 @@
                 }
             }
         },
+        knows: text => remembered.has(text),
+        unsaved: most => {
+            const found: EndedOperation<Answer>[] = [];
+            for (const [operation, { fingerprint, outcome, saved }] of remembered) {
+                if (!saved && outcome !== undefined) {
+                    found.push({ operation, fingerprint, outcome });
+                }
+                if (found.length >= most) {
+                    break;
+                }
+            }
+            return found;
+        },
+        markSaved: operations => {
+            for (const operation of operations) {
+                const entry = remembered.get(operation);
+                if (entry !== undefined) {
+                    entry.saved = true;
+                }
+            }
+        },
         size: () => remembered.size,
         inDoubt: () => [...remembered].filter(([, entry]) => entry.outcome?.kind === "error").map(([text]) => text)
     };
--- a/packages/endivebridge-core/src/index.ts
+++ b/packages/endivebridge-core/src/index.ts
@@ -51,6 +51,7 @@
     type ServerHealth
 } from "./EndivebridgeHealth";
 export {
+    type EndedOperation,
     type Journal,
     type JournalOptions,
     makeJournal,
--- a/packages/endivebridge-daemon/src/Daemon.ts
+++ b/packages/endivebridge-daemon/src/Daemon.ts
@@ -21,6 +21,7 @@
 import { configurationTask } from "./ConfigurationTask";
 import type { AssignmentSeen, ConfigurationInForce, Context, InstancesSeen, ServiceState } from "./Context";
 import { instanceListTask } from "./InstanceListTask";
+import { closeJournal, journalTask } from "./JournalTask";
 import { loadReportTask } from "./LoadReportTask";
 import { makeLog } from "./Log";
 import { makeMetrics } from "./Metrics";
@@ -39,6 +40,7 @@
 });
 
 const journalCapacity = 200_000;
+const lingerMillis = 1_000;
 const lookAgainMillis = 25;
 const windowMillis = 1_000;
 const triesPerSecond = 20;
@@ -116,7 +118,7 @@
 }
 
 function registerTasks(context: Context): () => void {
-    const tasks = [instanceListTask, configurationTask, ownershipTask, loadReportTask].map(task =>
+    const tasks = [instanceListTask, configurationTask, ownershipTask, loadReportTask, journalTask].map(task =>
         context.fork(task(context))
     );
     const memory = setInterval(() => context.journal.forgetOld(), 1_000);
@@ -168,12 +170,16 @@
         context.shutdown.update(() => true);
         context.timeLine.emit({ kind: "shuttingDown" });
         const stillOpen = () => callerServer.open() > 0 || inFlight(context) > 0;
-        await finishExchanges(stillOpen, callerServer.drain, untilMillis);
-        callerServer.close();
+        await finishExchanges(stillOpen, () => undefined, untilMillis);
+        const closed = await Effect.runPromise(closeJournal(context));
         await Effect.runPromise(Effect.ignore(leaveOwnership(context)));
+        // Connections opened before may still carry requests: each is told to go elsewhere.
+        await new Promise(resolve => setTimeout(resolve, lingerMillis));
+        await finishExchanges(() => callerServer.open() > 0, () => undefined, untilMillis);
+        callerServer.close();
         teardown();
         callerServer.server.closeAllConnections();
-        context.log.info("stopped");
+        context.log.info({ closed }, "stopped");
     };
     return { context, shutDown };
 }
--- /dev/null
+++ b/packages/endivebridge-daemon/src/JournalTask.ts
@@ -0,0 +1,84 @@
+import type { NewRow } from "@endivebridge/platform";
+import { Effect, Result } from "effect";
+import type { Context } from "./Context";
+import { closedKey, endedOperation, operationKey } from "./OperationRows";
+
+const mostRowsAtOnce = 100;
+const shortestIntervalMillis = 500;
+const intervalMillisPerInstance = 5;
+const settleAttempts = 20;
+
+/** Name under which this process runs operations. */
+export function runnerName(context: Context): string {
+    return `${context.settings.instance}.${context.incarnation}`;
+}
+
+/** Wall clock after which a row written now may be dropped. */
+export function rowExpiry(context: Context): number {
+    return Date.now() + 2 * context.settings.timing.operationMemoryMillis;
+}
+
+/** Inserts rows that are not there yet; only this incarnation writes them while it lives. */
+const saveOneByOne = (context: Context, rows: readonly NewRow[]) =>
+    Effect.forEach(rows, row =>
+        Effect.gen(function*() {
+            const result = yield* Effect.result(context.platform.writeRow(row.key, 0, row.value));
+            if (Result.isFailure(result) && result.failure.kind !== "conflict") {
+                yield* Effect.fail(result.failure);
+            }
+        }));
+
+/** Writes ended operations in one batch; true when nothing is left to write. */
+const saveBatch = (context: Context) =>
+    Effect.gen(function*() {
+        const ended = context.journal.unsaved(mostRowsAtOnce);
+        if (ended.length === 0) {
+            return true;
+        }
+        const runner = runnerName(context);
+        const rows = ended.map(each => ({
+            key: operationKey(each.operation),
+            value: endedOperation(runner, each, rowExpiry(context))
+        }));
+        const result = yield* Effect.result(context.platform.insertRows(rows));
+        if (Result.isFailure(result)) {
+            // An earlier batch whose answer was lost may hold some of the rows, not all.
+            yield* result.failure.kind === "conflict" ? saveOneByOne(context, rows) : Effect.fail(result.failure);
+        }
+        context.journal.markSaved(ended.map(each => each.operation));
+        return ended.length < mostRowsAtOnce;
+    });
+
+/** Time between batches: all instances together stay well within the table's writes a second. */
+function intervalMillis(context: Context): number {
+    return Math.max(shortestIntervalMillis, (context.peers.size + 1) * intervalMillisPerInstance);
+}
+
+/** Writes ended operations to the table, late and in batches, until interrupted. */
+export const journalTask = (context: Context): Effect.Effect<never> =>
+    Effect.gen(function*() {
+        for (;;) {
+            yield* Effect.sleep(intervalMillis(context) * (0.8 + Math.random() * 0.4));
+            yield* Effect.ignore(saveBatch(context));
+            context.metrics.gauge("journal_entries", context.journal.size());
+        }
+    });
+
+/** Writes everything and then says so; called once this incarnation begins no operation any more. */
+export const closeJournal = (context: Context): Effect.Effect<boolean> =>
+    Effect.gen(function*() {
+        for (let attempt = 0; attempt < settleAttempts; attempt += 1) {
+            const saved = yield* Effect.result(saveBatch(context));
+            if (Result.isFailure(saved)) {
+                return false;
+            }
+            if (saved.success) {
+                const key = closedKey(context.settings.instance, context.incarnation);
+                const closed = yield* Effect.result(
+                    context.platform.writeRow(key, 0, { closedAtEpochMillis: Date.now() })
+                );
+                return Result.isSuccess(closed);
+            }
+        }
+        return false;
+    });
--- a/packages/endivebridge-daemon/src/Operations.ts
+++ b/packages/endivebridge-daemon/src/Operations.ts
@@ -6,11 +6,19 @@
     type SteeringError,
     steeringError
 } from "@endivebridge/core";
-import type { PlatformFailure } from "@endivebridge/platform";
 import { Deferred, Effect, Result } from "effect";
 import { createHash } from "node:crypto";
 import type { Context } from "./Context";
 import { forwardOperation } from "./ForwardRequest";
+import { rowExpiry, runnerName } from "./JournalTask";
+import {
+    closedKey,
+    decodeOperation,
+    endedOperation,
+    operationKey,
+    runningOperation,
+    storedOutcome
+} from "./OperationRows";
 import type { Answer, SteeringRequest } from "./SteeringRequest";
 
 /** Identity of a request's content; two requests under one operation id must share it. */
@@ -73,6 +81,73 @@
     });
 }
 
+/** An operation of an incarnation that closed cleanly and that never ran there: whoever inserts its row runs it. */
+const runInsteadOfOwner = (
+    context: Context,
+    request: SteeringRequest,
+    text: string,
+    version: number,
+    run: () => Effect.Effect<Answer, SteeringError>
+): Effect.Effect<Answer, SteeringError> =>
+    Effect.gen(function*() {
+        const key = operationKey(text);
+        const runner = runnerName(context);
+        const fingerprint = requestFingerprint(request);
+        const begun = runningOperation(runner, fingerprint, rowExpiry(context));
+        const inserted = yield* Effect.result(context.platform.writeRow(key, version, begun));
+        if (Result.isFailure(inserted)) {
+            const row = inserted.failure.kind === "conflict" ? inserted.failure.row : undefined;
+            return row === undefined
+                ? yield* Effect.fail(steeringError("platformDown", "the operation could not be recorded"))
+                : yield* answerStored(request, row.value);
+        }
+        const task = Effect.gen(function*() {
+            const outcome = toOutcome(yield* Effect.result(run()));
+            const row = endedOperation(runner, { fingerprint, outcome }, rowExpiry(context));
+            const saved = Effect.ignore(context.platform.writeRow(key, inserted.success.version, row));
+            context.fork(saved);
+            return outcome;
+        });
+        const done = Deferred.makeUnsafe<OperationOutcome<Answer>>();
+        context.fork(Effect.flatMap(task, outcome => Deferred.succeed(done, outcome)));
+        return yield* outcomeEffect(yield* Deferred.await(done));
+    });
+
+function answerStored(request: SteeringRequest, value: unknown): Effect.Effect<Answer, SteeringError> {
+    const row = decodeOperation(value);
+    if (row === undefined) {
+        return Effect.fail(steeringError("ownerUnreachable", "its row cannot be read"));
+    }
+    if (row.fingerprint !== requestFingerprint(request)) {
+        return Effect.fail(steeringError("operationMismatch"));
+    }
+    const outcome = storedOutcome(row);
+    return outcome === undefined
+        ? Effect.fail(steeringError("ownerUnreachable", "did not run, may be taken up"))
+        : outcomeEffect(outcome);
+}
+
+/** Settles an operation whose owner cannot be asked, from what the owner left in the table. */
+const settleWithoutOwner = (
+    context: Context,
+    request: SteeringRequest,
+    text: string,
+    id: OperationId,
+    run: () => Effect.Effect<Answer, SteeringError>
+): Effect.Effect<Answer, SteeringError> =>
+    Effect.gen(function*() {
+        const unreachable = steeringError("ownerUnreachable", `${id.instance} ${id.incarnation}`);
+        const read = (key: string) => Effect.mapError(context.platform.readRow(key), () => unreachable);
+        // The owner writes its operations before it says that it closed: read in the other order.
+        const closed = yield* read(closedKey(id.instance, id.incarnation));
+        const row = yield* read(operationKey(text));
+        const mayRun = row === undefined ? closed !== undefined : decodeOperation(row.value)?.state === "notRun";
+        if (mayRun) {
+            return yield* runInsteadOfOwner(context, request, text, row?.version ?? 0, run);
+        }
+        return row === undefined ? yield* Effect.fail(unreachable) : yield* answerStored(request, row.value);
+    });
+
 /** Runs an operation whose id names its owner, here or there. */
 export function runOwnedOperation(
     context: Context,
@@ -87,21 +162,26 @@
         }
         const id = parsed.extract() as OperationId;
         if (id.instance === context.settings.instance && id.incarnation === context.incarnation) {
+            if (context.shutdown.read() && !context.journal.knows(text)) {
+                return yield* Effect.fail(steeringError("shuttingDown"));
+            }
             return yield* runHere(context, request, text, id, run);
         }
+        if (request.forwarded) {
+            return yield* Effect.fail(steeringError("ownerUnreachable", "this incarnation is not the owner"));
+        }
         const peer = context.peers.get(id.instance);
-        const reachable = peer !== undefined && peer.incarnation === id.incarnation;
-        if (!reachable || request.forwarded) {
-            return yield* Effect.fail(steeringError("ownerUnreachable", `${id.instance} ${id.incarnation}`));
+        if (peer === undefined || peer.incarnation !== id.incarnation || peer.failing) {
+            return yield* settleWithoutOwner(context, request, text, id, run);
         }
         const result = yield* Effect.result(forwardOperation(peer, request));
         if (Result.isSuccess(result)) {
             return result.success;
         }
         const { kind, detail } = result.failure;
-        return yield* Effect.fail(
-            detail.startsWith("peer: ") ? steeringError("ownerUnreachable", detail) : steeringError(kind, detail)
-        );
+        return detail.startsWith("peer: ")
+            ? yield* settleWithoutOwner(context, request, text, id, run)
+            : yield* Effect.fail(steeringError(kind, detail));
     });
 }
 
@@ -114,55 +194,14 @@
 ): Effect.Effect<Answer, SteeringError> {
     return Effect.gen(function*() {
         const digest = createHash("sha256").update(key).digest("base64url");
-        const row = `operation/key/${request.service}/${digest}`;
-        const fingerprint = requestFingerprint(request);
-        const begun = { fingerprint, instance: context.settings.instance, incarnation: context.incarnation };
-        const inserted = yield* Effect.result(context.platform.writeRow(row, 0, begun));
-        if (Result.isFailure(inserted)) {
-            return yield* keyedElsewhere(inserted.failure, fingerprint);
+        const text = `key/${request.service}/${digest}`;
+        const row = yield* Effect.mapError(
+            context.platform.readRow(operationKey(text)),
+            () => steeringError("platformDown", "the key cannot be looked up")
+        );
+        if (row !== undefined && decodeOperation(row.value)?.state !== "notRun") {
+            return yield* answerStored(request, row.value);
         }
-        const result = yield* Effect.result(run());
-        const outcome = toOutcome(result);
-        const stored = outcome.kind === "answer"
-            ? {
-                ...begun,
-                status: outcome.answer.status,
-                headers: outcome.answer.headers,
-                body: outcome.answer.body.toString("base64")
-            }
-            : { ...begun, error: outcome.error.kind };
-        context.fork(Effect.ignore(context.platform.writeRow(row, inserted.success.version, stored)));
-        return yield* outcomeEffect(outcome);
+        return yield* runInsteadOfOwner(context, request, text, row?.version ?? 0, run);
     });
 }
-
-interface KeyedRow {
-    readonly fingerprint: string;
-    readonly status?: number;
-    readonly headers?: readonly (readonly [string, string])[];
-    readonly body?: string;
-    readonly error?: string;
-}
-
-function keyedElsewhere(
-    failure: PlatformFailure,
-    fingerprint: string
-): Effect.Effect<Answer, SteeringError> {
-    if (failure.kind !== "conflict" || failure.row === undefined) {
-        return Effect.fail(steeringError("platformDown", "the key could not be recorded"));
-    }
-    const row = failure.row.value as KeyedRow;
-    if (row.fingerprint !== fingerprint) {
-        return Effect.fail(steeringError("operationMismatch"));
-    }
-    if (row.status !== undefined) {
-        return Effect.succeed({
-            status: row.status,
-            headers: row.headers ?? [],
-            body: Buffer.from(row.body ?? "", "base64"),
-            rest: undefined,
-            server: ""
-        });
-    }
-    return Effect.fail(steeringError("serverFailed", "the first request under this key has no known outcome"));
-}
--- a/packages/endivebridge-platform/src/index.ts
+++ b/packages/endivebridge-platform/src/index.ts
@@ -6,6 +6,7 @@
 } from "./InstanceList";
 export {
     makePlatformClient,
+    type NewRow,
     type PlatformClient,
     type PlatformFailure,
     type PlatformOptions,
