--- a/packages/endivebridge-bench/src/CallerProcess.ts
+++ b/packages/endivebridge-bench/src/CallerProcess.ts
@@ -1,6 +1,6 @@
 import { type Caller, type CallerFailure, makeCaller } from "@endivebridge/caller";
 import { range } from "@endivebridge/shared";
-import { answerBody, callerRegionHeader, serviceMillisHeader, tokenHeader } from "@endivebridge/standins";
+import { answerBody, callerRegionHeader, queueMillisHeader, tokenHeader } from "@endivebridge/standins";
 import { Effect, Result } from "effect";
 import { build, type Histogram } from "hdr-histogram-js";
 import type {
@@ -147,14 +147,14 @@
         }
     };
 
-    const noteAnswer = (count: LabelCounts, sentMillis: number, nowMillis: number, serviceMillis: number) => {
+    const noteAnswer = (count: LabelCounts, sentMillis: number, nowMillis: number, waitedMillis: number) => {
         count.answered += 1;
         const window = windowOf(count, nowMillis);
         window.answered += 1;
         if (sentMillis - startMillis >= plan.warmUpSeconds * 1_000) {
             const tookMillis = nowMillis - sentMillis;
             recordMillis(count.latency, tookMillis);
-            recordMillis(count.wait, tookMillis - serviceMillis);
+            recordMillis(count.wait, waitedMillis);
             recordMillis(window.latency, tookMillis);
         }
     };
@@ -190,8 +190,9 @@
             wrongAnswers += 1;
         }
         answered += 1;
-        const serviceMillis = Number(answer.headers[serviceMillisHeader] ?? 0);
-        both.forEach(count => noteAnswer(count, sentMillis, nowMillis, serviceMillis));
+        const waitedMillis = Number(answer.headers[queueMillisHeader] ?? 0)
+            + Number(answer.headers["endivebridge-wait-millis"] ?? 0);
+        both.forEach(count => noteAnswer(count, sentMillis, nowMillis, waitedMillis));
     };
 
     const arrive = async (stream: LoadStream): Promise<void> => {
--- a/packages/endivebridge-bench/src/LoadPlan.ts
+++ b/packages/endivebridge-bench/src/LoadPlan.ts
@@ -57,7 +57,7 @@
     readonly failed: number;
     readonly inDoubt: number;
     readonly latency: Percentiles;
-    /** Latency beyond the server's own service time. */
+    /** Time spent waiting for a slot, before the server and in its queue. */
     readonly wait: Percentiles;
     /** Time until a caller gave up on a request that did not run. */
     readonly refusal: Percentiles;
--- a/packages/endivebridge-bench/src/World.ts
+++ b/packages/endivebridge-bench/src/World.ts
@@ -44,6 +44,8 @@
     readonly timing?: Readonly<Record<string, number>>;
     /** Whether connections to backend servers pass through links of their own. */
     readonly backendLinks?: boolean;
+    /** Whether connections between instances of one failure domain pass through links too. */
+    readonly linkSiblings?: boolean;
 }
 
 /** Operators' configuration as the world builder writes it. */
@@ -82,6 +84,8 @@
     /** Cuts a failure domain off from other domains and the platform, or heals it. */
     readonly setPartitioned: (domain: string, partitioned: boolean) => void;
     readonly askOperator: (instance: InstanceProcess, path: string) => Promise<unknown>;
+    /** Gives an operator's command to an instance. */
+    readonly command: (instance: InstanceProcess, command: unknown) => Promise<unknown>;
     readonly logTail: (instance: InstanceProcess) => string;
     readonly records: () => readonly BackendRecord[];
     readonly close: () => Promise<void>;
@@ -245,7 +249,7 @@
     const callerLinks = new Map<string, Link>();
     const routes: Record<string, Record<string, string>> = {};
     for (const target of instances) {
-        for (const viewer of domains.filter(each => each.domain !== target.domain)) {
+        for (const viewer of domains.filter(each => options.linkSiblings === true || each.domain !== target.domain)) {
             const link = await openShaped(
                 viewer.region,
                 target.region,
@@ -342,6 +346,15 @@
         return answer.json();
     };
 
+    const command = async (instance: InstanceProcess, body: unknown): Promise<unknown> => {
+        const answer = await fetch(`http://${instance.callerAddress}/.endivebridge/operator/command`, {
+            method: "POST",
+            headers: { authorization: `Bearer ${operatorKey}` },
+            body: JSON.stringify(body)
+        });
+        return answer.json();
+    };
+
     const ownsSlots = async (instance: InstanceProcess): Promise<boolean> => {
         const state = await askOperator(instance, "operator/instance") as {
             readonly services: readonly { readonly servers: readonly { readonly usableSlots: number; }[]; }[];
@@ -389,7 +402,7 @@
             networks: Object.fromEntries(
                 deployment.regions.map(region => [region, clientNetwork(deployment, region)])
             ),
-            callersPerRegion: 24
+            callersPerRegion: 48
         };
         const child = fork(programPath("endivebench"), ["caller-process"], {
             stdio: ["ignore", "inherit", "inherit", "ipc"]
@@ -471,6 +484,7 @@
         runLoad,
         setPartitioned,
         askOperator,
+        command,
         logTail,
         records: () => backends.map(each => each.standIn.record),
         close
--- a/packages/endivebridge-bench/src/main.ts
+++ b/packages/endivebridge-bench/src/main.ts
@@ -5,13 +5,19 @@
 import { runDemo } from "./Demo";
 import { servePassThrough } from "./PassThrough";
 import { reportScenario, type Scenario } from "./ScenarioReport";
+import { control } from "./scenarios/Control";
+import { drain } from "./scenarios/DrainRegion";
 import { headroom } from "./scenarios/Headroom";
 import { leavingServer } from "./scenarios/LeavingServer";
+import { operations } from "./scenarios/Operations";
 import { overhead } from "./scenarios/Overhead";
+import { partition } from "./scenarios/Partition";
 import { poison } from "./scenarios/Poison";
 import { regionLoss } from "./scenarios/RegionLoss";
+import { rolling } from "./scenarios/Rolling";
 import { silentConnections } from "./scenarios/SilentConnections";
 import { slowServers } from "./scenarios/SlowServers";
+import { storeOutage } from "./scenarios/StoreOutage";
 import { stragglers } from "./scenarios/Stragglers";
 
 interface NamedScenario {
@@ -24,7 +30,7 @@
 const scenarios: readonly NamedScenario[] = [
     { name: "overhead", describe: "Cost against direct and a plain pass-through", seconds: 30, scenario: overhead },
     { name: "slow-servers", describe: "A tenth of the servers ten times slower", seconds: 36, scenario: slowServers },
-    { name: "stragglers", describe: "2% of requests twenty times longer", seconds: 36, scenario: stragglers },
+    { name: "stragglers", describe: "2% of requests twenty times longer", seconds: 42, scenario: stragglers },
     { name: "headroom", describe: "Load from 50% to 150%", seconds: 36, scenario: headroom },
     { name: "leaving-server", describe: "Servers are listed as leaving", seconds: 16, scenario: leavingServer },
     {
@@ -34,7 +40,18 @@
         scenario: silentConnections
     },
     { name: "poison", describe: "Requests that crash their servers", seconds: 20, scenario: poison },
-    { name: "region-loss", describe: "One region is killed and comes back", seconds: 32, scenario: regionLoss }
+    { name: "region-loss", describe: "One region is killed and comes back", seconds: 32, scenario: regionLoss },
+    { name: "drain", describe: "A region is drained at a rate and returned", seconds: 36, scenario: drain },
+    {
+        name: "operations",
+        describe: "Seeded faults while callers resend on every doubt",
+        seconds: 36,
+        scenario: operations
+    },
+    { name: "store-outage", describe: "The table service is down, then slow", seconds: 32, scenario: storeOutage },
+    { name: "partition", describe: "A failure domain is cut off for 10 s", seconds: 26, scenario: partition },
+    { name: "rolling", describe: "Every instance is replaced in turn", seconds: 42, scenario: rolling },
+    { name: "control", describe: "Cost of control at 6, 12 and 24 instances", seconds: 36, scenario: control }
 ];
 
 function finish(run: Promise<number>): void {
--- a/packages/endivebridge-bench/src/scenarios/Common.ts
+++ b/packages/endivebridge-bench/src/scenarios/Common.ts
@@ -24,3 +24,8 @@
     const { sent, answered, failed, inDoubt, latency, wait, refusal, failedByKind } = labelNamed(result, "all");
     return { policy, sent, answered, failed, inDoubt, latency, wait, refusal, failedByKind };
 }
+
+/** Waits. */
+export function wait(millis: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, millis));
+}
--- a/packages/endivebridge-bench/src/scenarios/RegionLoss.ts
+++ b/packages/endivebridge-bench/src/scenarios/RegionLoss.ts
@@ -4,11 +4,11 @@
 import { atLeast, atMost, type Scenario } from "../ScenarioReport";
 import { usualStreams } from "../Streams";
 import type { World } from "../World";
-import { summarizeRun, usualServiceMillis, withWorld } from "./Common";
+import { summarizeRun, usualServiceMillis, wait, withWorld } from "./Common";
 
 const load = 0.6;
 const lostRegion = "kootenay";
-const inflowCaps: Readonly<Record<string, number>> = { circulation: 60, patron: 18 };
+const inflowCaps: Readonly<Record<string, number>> = { circulation: 40, patron: 12 };
 const recoveryMillis = 6_000;
 
 /** Most starts of foreign requests in any one-second window of a region and service. */
@@ -44,10 +44,6 @@
     await Promise.all(world.instances.filter(each => each.region === region).map(world.startInstance));
 }
 
-function wait(millis: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, millis));
-}
-
 /** One region is killed with its servers and instances, and comes back. */
 export const regionLoss: Scenario = options =>
     withWorld({
--- /dev/null
+++ b/packages/endivebridge-bench/src/scenarios/Rolling.ts
@@ -0,0 +1,38 @@
+import { stacklight } from "../Deployment";
+import { labelNamed } from "../LoadPlan";
+import { countSafety } from "../Safety";
+import { atMost, type Scenario } from "../ScenarioReport";
+import { usualStreams } from "../Streams";
+import { summarizeRun, usualServiceMillis, wait, withWorld } from "./Common";
+
+const load = 0.3;
+
+/** Every instance is replaced in turn under load. */
+export const rolling: Scenario = options =>
+    withWorld({ deployment: stacklight, seed: options.seed, serviceMillis: usualServiceMillis }, async world => {
+        const usual = { load, serviceMillis: usualServiceMillis, deadlineMillis: 6_000 };
+        const running = world.runLoad(usualStreams(stacklight, usual), { seconds: options.seconds });
+        await wait(4_000);
+        const untilMillis = performance.now() + (options.seconds - 5) * 1_000;
+        let replaced = 0;
+        for (const instance of world.instances) {
+            if (performance.now() > untilMillis) {
+                break;
+            }
+            await world.stopInstance(instance, "SIGTERM");
+            await world.startInstance(instance);
+            replaced += 1;
+        }
+        const result = await running;
+        const safety = countSafety(world.records(), result);
+        const all = labelNamed(result, "all");
+        return {
+            results: [{ ...summarizeRun("endivebridge", result), ...safety, replaced }],
+            claims: [
+                atMost("instances not replaced in the time", world.instances.length - replaced, 0),
+                atMost("requests cut or failed", all.failed, 0),
+                atMost("operations in doubt", all.inDoubt, 0),
+                atMost("doubled operations", safety.doubledOperations, 0)
+            ]
+        };
+    });
--- /dev/null
+++ b/packages/endivebridge-bench/src/scenarios/StoreOutage.ts
@@ -0,0 +1,45 @@
+import { stacklight } from "../Deployment";
+import type { LoadResult } from "../LoadPlan";
+import { countSafety } from "../Safety";
+import { atLeast, atMost, type Scenario } from "../ScenarioReport";
+import { usualStreams } from "../Streams";
+import { summarizeRun, usualServiceMillis, wait, withWorld } from "./Common";
+
+const load = 0.5;
+const outageMillis = 15_000;
+const slowMillis = 800;
+const tableWritesPerSecond = 400;
+
+/** Share of calls of one kind that were answered. */
+export function answeredShare(result: LoadResult, prefix: string): number {
+    const labels = result.labels.filter(label => label.label.startsWith(prefix));
+    const sum = (field: "sent" | "answered") => labels.reduce((total, label) => total + label[field], 0);
+    return sum("answered") / sum("sent");
+}
+
+/** The table service is down for 15 s, then slow, then well again. */
+export const storeOutage: Scenario = options =>
+    withWorld({ deployment: stacklight, seed: options.seed, serviceMillis: usualServiceMillis }, async world => {
+        const usual = { load, serviceMillis: usualServiceMillis, deadlineMillis: 4_000 };
+        const running = world.runLoad(usualStreams(stacklight, usual), { seconds: options.seconds });
+        await wait(5_000);
+        world.platform.faults.down = true;
+        await wait(outageMillis);
+        world.platform.faults.down = false;
+        world.platform.faults.delayMillis = slowMillis;
+        await wait(4_000);
+        world.platform.faults.delayMillis = 0;
+        const result = await running;
+        await wait(2_000);
+        const record = world.platform.record();
+        const safety = countSafety(world.records(), result);
+        return {
+            results: [{ ...summarizeRun("endivebridge", result), ...safety, platform: record }],
+            claims: [
+                atLeast("idempotent success", answeredShare(result, "read:"), 0.999),
+                atLeast("success of operations with owned ids", answeredShare(result, "write:"), 0.99),
+                atMost("most writes in a second", record.mostWritesPerSecond, tableWritesPerSecond),
+                atMost("doubled operations", safety.doubledOperations, 0)
+            ]
+        };
+    });
--- a/packages/endivebridge-bench/src/scenarios/Stragglers.ts
+++ b/packages/endivebridge-bench/src/scenarios/Stragglers.ts
@@ -3,9 +3,10 @@
 import { prepareBaselines, runBaseline } from "../RunBaseline";
 import { atMost, type Scenario } from "../ScenarioReport";
 import { usualStreams } from "../Streams";
-import { summarizeRun, usualServiceMillis, withWorld } from "./Common";
+import { summarizeRun, withWorld } from "./Common";
 
 const load = 0.7;
+const serviceMillis = 120;
 const stragglerShare = 0.02;
 const stragglerFactor = 20;
 const meanFactor = 1 + stragglerShare * (stragglerFactor - 1);
@@ -25,17 +26,17 @@
 
 /** Two requests in a hundred run twenty times longer. */
 export const stragglers: Scenario = options =>
-    withWorld({ deployment: stacklight, seed: options.seed, serviceMillis: usualServiceMillis }, async world => {
-        const seconds = options.seconds / 3.4;
+    withWorld({ deployment: stacklight, seed: options.seed, serviceMillis }, async world => {
+        const run = { seconds: options.seconds / 4, rampSeconds: 2 };
         // The load counts the stragglers' work, so that both runs keep the slots equally busy.
-        const usual = { serviceMillis: usualServiceMillis, deadlineMillis: 16_000, readsOnly: true };
+        const usual = { serviceMillis, deadlineMillis: 16_000, readsOnly: true };
         const plain = usualStreams(stacklight, { ...usual, load }).map(stream => ({ ...stream, label: "ordinary" }));
         const mixed = withStragglers(usualStreams(stacklight, { ...usual, load: load / meanFactor }));
-        const without = await world.runLoad(plain, { seconds });
-        const own = await world.runLoad(mixed, { seconds });
+        const without = await world.runLoad(plain, run);
+        const own = await world.runLoad(mixed, run);
         await prepareBaselines(world);
-        const roundRobin = await runBaseline(world, "round-robin", mixed, { seconds: seconds * 0.7 });
-        const leastInFlight = await runBaseline(world, "least-in-flight", mixed, { seconds: seconds * 0.7 });
+        const roundRobin = await runBaseline(world, "round-robin", mixed, run);
+        const leastInFlight = await runBaseline(world, "least-in-flight", mixed, run);
         const ordinary = (result: LoadResult) => labelNamed(result, "ordinary");
         return {
             results: [
--- a/packages/endivebridge-core/src/EndivebridgeAdmission.ts
+++ b/packages/endivebridge-core/src/EndivebridgeAdmission.ts
@@ -1,11 +1,12 @@
-/** Counts what happened in the last second, exactly. */
+/** Counts what happened in the last second and a little more, exactly. */
 export interface SecondWindow {
     /** Counts one more if that keeps every one-second window within `most`. */
     readonly tryAdd: (nowMillis: number, most: number) => boolean;
     readonly count: (nowMillis: number) => number;
 }
 
-const windowMillis = 1_000;
+// Longer than a second: a request begun late in its own window must not fall into the next one on the way.
+const windowMillis = 1_030;
 
 /** Makes an empty window. */
 export function makeSecondWindow(): SecondWindow {
--- a/packages/endivebridge-core/src/EndivebridgeLookup.ts
+++ b/packages/endivebridge-core/src/EndivebridgeLookup.ts
@@ -1,3 +1,5 @@
+const swapGain = 2;
+
 /** An entry instance as a look-up sees it. */
 export interface LookupCandidate {
     readonly instance: string;
@@ -7,6 +9,8 @@
     readonly leaving: boolean;
     readonly reachable: boolean;
     readonly usableSlots: number;
+    /** Requests a second that callers send it, for each usable slot. */
+    readonly load: number;
 }
 
 /** What a look-up answer is made from. */
@@ -26,6 +30,12 @@
     return Math.max(1, candidate.usableSlots) / -Math.log(Math.max(draw, Number.EPSILON));
 }
 
+/** Share of an instance's callers that its second choice should take, so that both come out even. */
+function swapShare(firstLoad: number, secondLoad: number): number {
+    const sum = firstLoad + secondLoad;
+    return sum === 0 ? 0 : Math.max(0, (swapGain * (firstLoad - secondLoad)) / sum);
+}
+
 /**
  * Orders entry instances for a client: home region first, then by weighted rendezvous hashing, so that the loss of
  * one instance spreads its callers over all others.
@@ -42,5 +52,12 @@
         weight: weight(candidate, question, hash)
     }));
     ranked.sort((left, right) => right.home - left.home || right.weight - left.weight);
+    const [first, second] = ranked;
+    if (first !== undefined && second !== undefined && first.home === second.home) {
+        const draw = hash(`${question.client}/${question.service}/swap`);
+        if (draw < swapShare(first.candidate.load, second.candidate.load)) {
+            ranked.splice(0, 2, second, first);
+        }
+    }
     return ranked.slice(0, question.mostInstances).map(each => each.candidate);
 }
--- a/packages/endivebridge-core/src/EndivebridgePoison.ts
+++ b/packages/endivebridge-core/src/EndivebridgePoison.ts
@@ -1,36 +1,44 @@
 /** Remembers requests under which backend servers died. */
 export interface PoisonList {
-    /** Counts a server that died under the request; true once the request is quarantined. */
-    readonly strike: (fingerprint: string, nowMillis: number) => boolean;
+    /** Counts a server that died under a request; true once the request is quarantined. */
+    readonly strike: (fingerprint: string, server: string, nowMillis: number) => boolean;
+    /** Whether a server died under the request, so that it must not run beside other suspects. */
+    readonly isSuspect: (fingerprint: string, nowMillis: number) => boolean;
     readonly isQuarantined: (fingerprint: string, nowMillis: number) => boolean;
-    /** Takes in what a peer counted; the higher count stands. */
-    readonly learn: (fingerprint: string, strikes: number, nowMillis: number) => void;
-    /** Requests with strikes, for peers and operators. */
-    readonly struck: (nowMillis: number) => readonly StruckRequest[];
+    /** A suspect that ran well is none any more. */
+    readonly clear: (fingerprint: string) => void;
+    /** Takes in what a peer saw. */
+    readonly learn: (struck: StruckRequest, nowMillis: number) => void;
+    readonly quarantined: (nowMillis: number) => readonly StruckRequest[];
     readonly isEmpty: () => boolean;
 }
 
-/** A request under which servers died. */
+/** A request and the servers that died under it. */
 export interface StruckRequest {
     readonly fingerprint: string;
-    readonly strikes: number;
+    readonly servers: readonly string[];
 }
 
-const quarantineStrikes = 2;
+const quarantineServers = 2;
 const memoryMillis = 300_000;
 const mostRequests = 1_000;
 
 interface Entry {
-    strikes: number;
+    readonly servers: Set<string>;
     untilMillis: number;
 }
 
 /** Makes an empty list; it is bounded, the oldest entries go first. */
 export function makePoisonList(): PoisonList {
     const entries = new Map<string, Entry>();
-    const entryOf = (fingerprint: string, nowMillis: number): Entry => {
-        const known = entries.get(fingerprint);
-        const entry = known !== undefined && known.untilMillis > nowMillis ? known : { strikes: 0, untilMillis: 0 };
+
+    const living = (fingerprint: string, nowMillis: number): Entry | undefined => {
+        const entry = entries.get(fingerprint);
+        return entry !== undefined && entry.untilMillis > nowMillis ? entry : undefined;
+    };
+
+    const renew = (fingerprint: string, nowMillis: number): Entry => {
+        const entry = living(fingerprint, nowMillis) ?? { servers: new Set<string>(), untilMillis: 0 };
         entry.untilMillis = nowMillis + memoryMillis;
         entries.delete(fingerprint);
         entries.set(fingerprint, entry);
@@ -39,26 +47,24 @@
         }
         return entry;
     };
+
     return {
-        strike: (fingerprint, nowMillis) => {
-            const entry = entryOf(fingerprint, nowMillis);
-            entry.strikes += 1;
-            return entry.strikes >= quarantineStrikes;
-        },
-        isQuarantined: (fingerprint, nowMillis) => {
-            const entry = entries.get(fingerprint);
-            return entry !== undefined && entry.untilMillis > nowMillis && entry.strikes >= quarantineStrikes;
+        strike: (fingerprint, server, nowMillis) =>
+            renew(fingerprint, nowMillis).servers.add(server).size >= quarantineServers,
+        isSuspect: (fingerprint, nowMillis) => living(fingerprint, nowMillis) !== undefined,
+        isQuarantined: (fingerprint, nowMillis) =>
+            (living(fingerprint, nowMillis)?.servers.size ?? 0) >= quarantineServers,
+        clear: fingerprint => {
+            entries.delete(fingerprint);
         },
-        learn: (fingerprint, strikes, nowMillis) => {
-            const known = entries.get(fingerprint);
-            if (known === undefined || known.strikes < strikes) {
-                entryOf(fingerprint, nowMillis).strikes = strikes;
-            }
+        learn: ({ fingerprint, servers }, nowMillis) => {
+            const entry = renew(fingerprint, nowMillis);
+            servers.forEach(server => entry.servers.add(server));
         },
-        struck: nowMillis =>
+        quarantined: nowMillis =>
             [...entries]
-                .filter(([, entry]) => entry.untilMillis > nowMillis)
-                .map(([fingerprint, { strikes }]) => ({ fingerprint, strikes })),
+                .filter(([, entry]) => entry.untilMillis > nowMillis && entry.servers.size >= quarantineServers)
+                .map(([fingerprint, entry]) => ({ fingerprint, servers: [...entry.servers] })),
         isEmpty: () => entries.size === 0
     };
 }
--- a/packages/endivebridge-core/src/index.ts
+++ b/packages/endivebridge-core/src/index.ts
@@ -32,6 +32,7 @@
 } from "./EndivebridgeAssignment";
 export { type ClientBlock, type ClientBlocks, makeClientBlocks, parseAddress } from "./EndivebridgeClientBlocks";
 export { compareEventTimes, type EventClock, type EventTime, makeEventClock } from "./EndivebridgeClock";
+export { type DrainProgress, drainProgress, type DrainState, makeRateMeter, type RateMeter } from "./EndivebridgeDrain";
 export {
     type ErrorAnswer,
     errorAnswers,
--- a/packages/endivebridge-daemon/src/Answers.ts
+++ b/packages/endivebridge-daemon/src/Answers.ts
@@ -5,12 +5,20 @@
 
 const retryAfterSeconds = 1;
 const shortestRetryMillis = 100;
-const retryJitterMillis = 500;
+const retryUnitMillis = 1_000;
+const mostPressure = 5;
 
-/** Makes the answer that the table of error kinds gives for an error. */
-export function errorAnswer(error: SteeringError, request: string): Answer {
+/** Pressure of a service that refuses nothing. */
+export const leastPressure = 0.3;
+
+/**
+ * Makes the answer that the table of error kinds gives for an error. `pressure` is the ratio of refused to answered
+ * requests: the more are refused, the later they are asked to come back, so that their return is no load of its own.
+ */
+export function errorAnswer(error: SteeringError, request: string, pressure = leastPressure): Answer {
     const { status, ran, retry, meaning } = errorAnswers[error.kind];
-    const retryAfterMillis = Math.round(shortestRetryMillis + Math.random() * retryJitterMillis);
+    const spread = retryUnitMillis * Math.min(mostPressure, Math.max(leastPressure, pressure));
+    const retryAfterMillis = Math.round(shortestRetryMillis + spread * (0.5 + Math.random()));
     const body = Buffer.from(JSON.stringify({
         error: error.kind,
         ran,
--- a/packages/endivebridge-daemon/src/CallerServer.ts
+++ b/packages/endivebridge-daemon/src/CallerServer.ts
@@ -1,4 +1,4 @@
-import { errorAnswers, steeringError } from "@endivebridge/core";
+import { errorAnswers, type ErrorKind, steeringError } from "@endivebridge/core";
 import { Effect, Fiber, Queue, Result } from "effect";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
@@ -48,6 +48,14 @@
     return answerOperator(context, incoming, name);
 }
 
+/** Counts how a request ended; gives its service's ratio of refused to answered requests. */
+function notePressure(context: Context, incoming: IncomingMessage, error: ErrorKind | undefined): number {
+    const outcomes = context.services.get((incoming.url ?? "").split("/", 2)[1] ?? "")?.outcomes;
+    outcomes?.count(error === "overloaded" || error === "capReached" ? "refused" : "answered");
+    const rates = outcomes?.rates();
+    return (rates?.get("refused") ?? 0) / Math.max(1, rates?.get("answered") ?? 1);
+}
+
 const answerExchange = (context: Context, incoming: IncomingMessage, request: string): Effect.Effect<Answer> =>
     Effect.gen(function*() {
         if ((incoming.url ?? "").startsWith(ownPrefix)) {
@@ -65,8 +73,9 @@
                 context.timeLine.emit({ kind: "requestInDoubt", request, error: kind, operation });
                 context.log.warn({ request, kind, detail, target: incoming.url }, "request in doubt");
             }
-            return errorAnswer(result.failure, request);
+            return errorAnswer(result.failure, request, notePressure(context, incoming, kind));
         }
+        notePressure(context, incoming, undefined);
         context.metrics.count("answers");
         context.metrics.timing("answer_millis", performance.now() - startedAtMillis);
         return result.success;
--- a/packages/endivebridge-daemon/src/Context.ts
+++ b/packages/endivebridge-daemon/src/Context.ts
@@ -6,6 +6,7 @@
     LearnedQuantile,
     Lease,
     PoisonList,
+    RateMeter,
     SecondWindow,
     ShareBudget,
     SlotPool,
@@ -14,7 +15,7 @@
 import type { ListedBackendServer, ListedEntryInstance, PlatformClient } from "@endivebridge/platform";
 import type { ConfigurationDocument, InstanceSettings } from "@endivebridge/settings";
 import type { State } from "@endivebridge/shared";
-import type { Effect, Fiber } from "effect";
+import type { Effect, Fiber, Semaphore } from "effect";
 import type { BackendConnections } from "./BackendConnections";
 import type { LoadReport } from "./LoadReportTask";
 import type { Log } from "./Log";
@@ -51,9 +52,15 @@
     readonly retries: ShareBudget;
     readonly hedges: ShareBudget;
     /** Requests from other regions that began in the last second. */
+    /** Requests refused for want of a slot, and those answered, a second. */
+    readonly outcomes: RateMeter;
+    /** Requests of callers by the region they call from. */
+    readonly meter: RateMeter;
     readonly inflow: SecondWindow;
     /** This instance's part of the cap on them; undefined without a cap. */
     readonly inflowShare: { current: number | undefined; readonly cautious: CautiousShare; };
+    /** Lets one request at a time run under which a server died. */
+    readonly suspects: Semaphore.Semaphore;
     /** Calls to peers that said they were full. */
     readonly tries: TryBudget;
     /** Times of whole answers of own servers. */
--- a/packages/endivebridge-daemon/src/Daemon.ts
+++ b/packages/endivebridge-daemon/src/Daemon.ts
@@ -5,6 +5,7 @@
     makeLearnedQuantile,
     makeLease,
     makePoisonList,
+    makeRateMeter,
     makeSecondWindow,
     makeShareBudget,
     makeSlotPool,
@@ -14,7 +15,7 @@
 import { makePlatformClient } from "@endivebridge/platform";
 import type { InstanceSettings } from "@endivebridge/settings";
 import { makeState, mergeTeardowns, monotonicMillis } from "@endivebridge/shared";
-import { Effect, Fiber, Scheduler } from "effect";
+import { Effect, Fiber, Scheduler, Semaphore } from "effect";
 import { randomBytes } from "node:crypto";
 import { makeBackendConnections } from "./BackendConnections";
 import { openCallerServer } from "./CallerServer";
@@ -43,8 +44,8 @@
 const lingerMillis = 1_000;
 const lookAgainMillis = 25;
 const windowMillis = 1_000;
-const triesPerSecond = 20;
-const mostTries = 10;
+const triesPerSecond = 40;
+const mostTries = 20;
 
 /** A running entry instance. */
 export interface Daemon {
@@ -97,11 +98,14 @@
         }),
         retries: makeShareBudget(() => definition()?.retryShare ?? 0),
         hedges: makeShareBudget(() => definition()?.hedgeShare ?? 0),
+        outcomes: makeRateMeter(),
+        meter: makeRateMeter(),
         inflow: makeSecondWindow(),
         inflowShare: {
             current: 0,
             cautious: makeCautiousShare(context.settings.timing.leaseMillis + windowMillis)
         },
+        suspects: Semaphore.makeUnsafe(1),
         tries: makeTryBudget(triesPerSecond, mostTries),
         answerTimes: makeLearnedQuantile()
     };
@@ -121,7 +125,13 @@
     const tasks = [instanceListTask, configurationTask, ownershipTask, loadReportTask, journalTask].map(task =>
         context.fork(task(context))
     );
-    const memory = setInterval(() => context.journal.forgetOld(), 1_000);
+    const memory = setInterval(() => {
+        context.journal.forgetOld();
+        context.services.forEach(service => {
+            service.meter.tick();
+            service.outcomes.tick();
+        });
+    }, 1_000);
     // Waiting requests look again for a peer's free slot, the oldest first.
     const looking = setInterval(
         () => context.services.forEach(service => service.pool.sendElsewhere(1)),
--- a/packages/endivebridge-daemon/src/Describe.ts
+++ b/packages/endivebridge-daemon/src/Describe.ts
@@ -1,5 +1,6 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import type { Context, ServiceState } from "./Context";
+import { describeDrains } from "./Drains";
 import { freeInflow, uncapped } from "./Inflow";
 
 function describeServers(context: Context, service: ServiceState) {
@@ -20,6 +21,7 @@
     return [...context.services.values()].map(service => ({
         service: service.service,
         waiting: service.pool.waiting(),
+        requestsPerSecond: Object.fromEntries(service.meter.rates()),
         inflowCapRequestsPerSecond: service.inflowShare.current,
         inflowFree: freeInflow(service) === uncapped ? undefined : freeInflow(service),
         servers: describeServers(context, service)
@@ -55,7 +57,8 @@
         residentBytes: process.memoryUsage.rss(),
         operationsRemembered: context.journal.size(),
         operationsInDoubt: context.journal.inDoubt().slice(0, 100),
-        struckRequests: context.poison.struck(monotonicMillis()),
+        struckRequests: context.poison.quarantined(monotonicMillis()),
+        drains: describeDrains(context),
         peers: describePeers(context),
         services: describeServices(context),
         totals: context.metrics.totals()
--- a/packages/endivebridge-daemon/src/DispatchRequest.ts
+++ b/packages/endivebridge-daemon/src/DispatchRequest.ts
@@ -9,7 +9,7 @@
 /** Why a backend server gave no whole answer. */
 export interface DispatchFailure {
     readonly kind: ErrorKind;
-    readonly reason: "refused" | "unreachable" | "cut" | "deadline" | "tooLarge";
+    readonly reason: "refused" | "unreachable" | "cut" | "silent" | "deadline" | "tooLarge";
     readonly server: string;
     readonly ran: "no" | "maybe";
     readonly retryAfterMillis: number;
@@ -24,10 +24,13 @@
     readonly lateAfterMillis: number;
     /** Called once when the answer is late; says whether the connection had carried earlier requests. */
     readonly onLate: (onReusedConnection: boolean) => void;
+    /** Asked again and again once the answer is late on a connection that may have gone silent. */
+    readonly mayAbandon: () => boolean;
     readonly onAnswer: (tookMillis: number, wasLate: boolean) => void;
 }
 
 const keptAnswerBytes = 1_048_576;
+const watchMillis = 100;
 
 function outgoingHeaders(request: SteeringRequest, address: string, remainingMillis: number): string[] {
     const flat = ["Host", address];
@@ -106,11 +109,17 @@
         const separator = address.lastIndexOf(":");
         let connected = false;
         let ended = false;
+        let answering = false;
         let late = false;
         const lateTimer = setTimeout(() => {
             late = true;
             options.onLate(outgoing.reusedSocket);
+            if (outgoing.reusedSocket) {
+                watchTimer = setInterval(abandonIfSilent, watchMillis);
+                abandonIfSilent();
+            }
         }, options.lateAfterMillis);
+        let watchTimer: NodeJS.Timeout | undefined;
         const outgoing = openRequest({
             host: address.slice(0, separator),
             port: Number(address.slice(separator + 1)),
@@ -121,6 +130,16 @@
             setHost: false
         });
 
+        const stopTimers = () => {
+            clearTimeout(deadlineTimer);
+            clearTimeout(lateTimer);
+            clearInterval(watchTimer);
+        };
+        const abandonIfSilent = () => {
+            if (!ended && !answering && options.mayAbandon()) {
+                fail("silent", "serverFailed", "maybe");
+            }
+        };
         const releaseLater = () => setTimeout(slot.release, options.cancelHoldMillis);
         const fail = (
             reason: DispatchFailure["reason"],
@@ -132,8 +151,7 @@
                 return;
             }
             ended = true;
-            clearTimeout(deadlineTimer);
-            clearTimeout(lateTimer);
+            stopTimers();
             outgoing.destroy();
             if (ran === "no") {
                 slot.release();
@@ -155,8 +173,7 @@
 
         const finish = () => {
             ended = true;
-            clearTimeout(deadlineTimer);
-            clearTimeout(lateTimer);
+            stopTimers();
             const nowMillis = monotonicMillis();
             recordLatency(latency, nowMillis - startedAtMillis, nowMillis);
             options.onAnswer(nowMillis - startedAtMillis, late);
@@ -173,6 +190,8 @@
         });
         outgoing.on("error", lost);
         outgoing.on("response", response => {
+            answering = true;
+            clearInterval(watchTimer);
             const head = readAnswerHead(response);
             if (!isFramed(request, response.statusCode ?? 0, head)) {
                 lost();
@@ -201,8 +220,7 @@
                     return;
                 }
                 ended = true;
-                clearTimeout(deadlineTimer);
-                clearTimeout(lateTimer);
+                stopTimers();
                 response.off("data", onData);
                 response.pause();
                 resume(Effect.succeed(answer(response)));
@@ -230,8 +248,7 @@
         return Effect.sync(() => {
             if (!ended) {
                 ended = true;
-                clearTimeout(deadlineTimer);
-                clearTimeout(lateTimer);
+                stopTimers();
                 outgoing.destroy();
                 releaseLater();
             }
--- a/packages/endivebridge-daemon/src/Heartbeat.ts
+++ b/packages/endivebridge-daemon/src/Heartbeat.ts
@@ -1,4 +1,5 @@
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
+import type { StruckRequest } from "@endivebridge/core";
 import {
     type HeartbeatRequest,
     HeartbeatRequestSchema,
@@ -20,12 +21,13 @@
         waiting: service.pool.waiting(),
         setAsideSlots: service.pool.setAsideSlots(),
         freeInflow: freeInflow(service),
+        sourceRates: Object.fromEntries(service.meter.rates()),
         serviceMicros: Math.round((ownServiceMillis(service) ?? 0) * 1_000)
     };
 }
 
-/** What this instance tells its peers of itself. */
-export function makeHeartbeat(context: Context): HeartbeatRequest {
+/** What this instance tells its peers of itself; `struck` are requests under which a server died just now. */
+export function makeHeartbeat(context: Context, struck: readonly StruckRequest[] = []): HeartbeatRequest {
     return create(HeartbeatRequestSchema, {
         instance: context.settings.instance,
         incarnation: context.incarnation,
@@ -33,7 +35,8 @@
         configurationVersion: context.configuration.read()?.version ?? 0,
         mintEpoch: context.journal.currentEpoch(),
         leaving: context.shutdown.read(),
-        struckRequests: [...context.poison.struck(monotonicMillis())],
+        struckRequests: [...struck, ...context.poison.quarantined(monotonicMillis())]
+            .map(({ fingerprint, servers }) => ({ fingerprint, servers: [...servers] })),
         assignmentVersion: context.assignment.read()?.version ?? 0,
         time: context.timeLine.clock.now(),
         loads: [...context.services.values()].map(describeLoad)
@@ -47,6 +50,7 @@
         freeInflow: load.freeInflow,
         ownedSlots: load.ownedSlots,
         waiting: load.waiting,
+        sourceRates: new Map(Object.entries(load.sourceRates)),
         setAsideSlots: load.setAsideSlots,
         serviceMillis: load.serviceMicros === 0 ? undefined : load.serviceMicros / 1_000
     });
@@ -73,7 +77,7 @@
 function noteLoads(context: Context, peer: Peer, request: HeartbeatRequest): void {
     peer.leaving = request.leaving;
     const nowMillis = monotonicMillis();
-    request.struckRequests.forEach(struck => context.poison.learn(struck.fingerprint, struck.strikes, nowMillis));
+    request.struckRequests.forEach(struck => context.poison.learn(struck, nowMillis));
     for (const load of request.loads) {
         noteLoad(peer, load);
         if (load.freeSlots > 0) {
--- a/packages/endivebridge-daemon/src/Lookup.ts
+++ b/packages/endivebridge-daemon/src/Lookup.ts
@@ -8,10 +8,10 @@
 } from "@endivebridge/core";
 import { Effect } from "effect";
 import { randomBytes } from "node:crypto";
-import xxhash from "xxhash-wasm";
 import type { Context } from "./Context";
+import { steeredRegion } from "./Drains";
+import { lookupHash } from "./LookupHash";
 
-const { h32 } = await xxhash();
 const mostInstances = 4;
 
 /** One entry instance in a look-up answer. */
@@ -33,9 +33,8 @@
     readonly configurationVersion: number;
 }
 
-/** Stable number in [0, 1) for a text. */
-export function lookupHash(text: string): number {
-    return h32(text) / 4_294_967_296;
+function sumOf(values: Iterable<number>): number {
+    return [...values].reduce((sum, value) => sum + value, 0);
 }
 
 /** Entry instances that a look-up may name. */
@@ -43,7 +42,10 @@
     return context.instances.read().entries.map(entry => {
         const isSelf = entry.instance === context.settings.instance;
         const peer = context.peers.get(entry.instance);
-        const ownSlots = context.services.get(service)?.pool.usableSlots() ?? 0;
+        const load = peer?.loads.get(service);
+        const own = context.services.get(service);
+        const usableSlots = (isSelf ? own?.pool.usableSlots() : load?.ownedSlots) ?? 0;
+        const rates = isSelf ? own?.meter.rates() : load?.sourceRates;
         return {
             instance: entry.instance,
             failureDomain: entry.failureDomain,
@@ -51,7 +53,8 @@
             address: entry.callerAddress,
             leaving: entry.state === "leaving" || (isSelf ? context.shutdown.read() : peer?.leaving ?? true),
             reachable: isSelf || (peer !== undefined && !peer.failing && peer.incarnation !== ""),
-            usableSlots: isSelf ? ownSlots : peer?.loads.get(service)?.ownedSlots ?? 0
+            usableSlots,
+            load: usableSlots === 0 ? 0 : sumOf(rates?.values() ?? []) / usableSlots
         };
     });
 }
@@ -63,7 +66,8 @@
 
 /** The question that a look-up asks of the candidates. */
 export function lookupQuestion(context: Context, service: string, client: string): LookupQuestion {
-    return { client, service, homeRegion: homeRegion(context, client), mostInstances };
+    const home = homeRegion(context, client);
+    return { client, service, homeRegion: steeredRegion(context, service, client, home), mostInstances };
 }
 
 function mintPrefix(context: Context, instance: string): string {
--- a/packages/endivebridge-daemon/src/OperatorApi.ts
+++ b/packages/endivebridge-daemon/src/OperatorApi.ts
@@ -6,7 +6,8 @@
 import type { Context } from "./Context";
 import { describeInstance } from "./Describe";
 import { isRightKey } from "./Keys";
-import { homeRegion, lookupCandidates, lookupHash, lookupQuestion } from "./Lookup";
+import { homeRegion, lookupCandidates, lookupQuestion } from "./Lookup";
+import { lookupHash } from "./LookupHash";
 import { AcceptConfiguration, acceptConfiguration } from "./OperatorCommands";
 import type { Peer } from "./Peer";
 import type { Answer } from "./SteeringRequest";
@@ -65,7 +66,8 @@
         instance: each.instance,
         reason: each.leaving ? "leaving" : !each.reachable ? "not reachable from here" : "ranked lower"
     }));
-    return { service, client, homeRegion: homeRegion(context, client), chosen, passedOver };
+    const home = homeRegion(context, client);
+    return { service, client, homeRegion: home, steeredTo: question.homeRegion, chosen, passedOver };
 }
 
 const runCommand = (context: Context, incoming: IncomingMessage): Effect.Effect<Answer, SteeringError> =>
--- a/packages/endivebridge-daemon/src/Peer.ts
+++ b/packages/endivebridge-daemon/src/Peer.ts
@@ -9,6 +9,8 @@
     readonly ownedSlots: number;
     readonly waiting: number;
     readonly setAsideSlots: number;
+    /** Requests a second that it gets from callers, by their region. */
+    readonly sourceRates: ReadonlyMap<string, number>;
     /** Median service time of the peer's servers; undefined before there are samples. */
     readonly serviceMillis: number | undefined;
 }
--- a/packages/endivebridge-daemon/src/PlaceRequest.ts
+++ b/packages/endivebridge-daemon/src/PlaceRequest.ts
@@ -19,7 +19,7 @@
 /** Where a request found its place: an own slot, or a peer that already ran it. */
 export type Placement =
     | { readonly kind: "slot"; readonly slot: HeldSlot; }
-    | { readonly kind: "answered"; readonly answer: Answer; };
+    | { readonly kind: "answered"; readonly answer: Answer; readonly waitedMillis: number; };
 
 /** Whether any attempt at a request so far may have run. */
 export interface Doubt {
@@ -84,7 +84,8 @@
     service: ServiceState,
     request: SteeringRequest,
     tried: Set<string>,
-    doubt: Doubt
+    doubt: Doubt,
+    arrivedAtMillis: number
 ) => Effect.gen(function*() {
     const peers = peersToTry(context, service.service, request.sourceRegion).filter(peer => !tried.has(peer.instance));
     for (const peer of peers) {
@@ -98,12 +99,13 @@
             load.freeSlots -= 1;
         }
         context.metrics.count("forwards", { service: service.service });
+        const sentAtMillis = monotonicMillis();
         const result = yield* Effect.result(forwardRequest(peer, request));
         if (Result.isSuccess(result)) {
             if (!saidFree) {
                 service.tries.refund();
             }
-            return result.success;
+            return { answer: result.success, waitedMillis: sentAtMillis - arrivedAtMillis };
         }
         doubt.mayHaveRun ||= result.failure.ran !== "no";
         const mayGoOn = result.failure.ran === "no" || (request.idempotent && service.retries.trySpend());
@@ -143,9 +145,9 @@
             if (request.forwarded) {
                 return yield* refuse("overloaded", "no free slot");
             }
-            const answer = yield* tryPeers(context, service, request, tried, doubt);
+            const answer = yield* tryPeers(context, service, request, tried, doubt, arrivedAtMillis);
             if (answer !== undefined) {
-                return { kind: "answered", answer };
+                return { kind: "answered", ...answer };
             }
             if (!mayUseOwn) {
                 return yield* refuse("capReached", "");
--- a/packages/endivebridge-daemon/src/RunRequest.ts
+++ b/packages/endivebridge-daemon/src/RunRequest.ts
@@ -11,17 +11,23 @@
 import type { Context, ServiceState } from "./Context";
 import { type DispatchFailure, type DispatchOptions, dispatchRequest } from "./DispatchRequest";
 import { type Doubt, placeRequest } from "./PlaceRequest";
-import { isQuarantined, strikeRequest } from "./Poison";
+import { clearRequest, isQuarantined, runGuarded, strikeRequest } from "./Poison";
 import { hedgeAfterMillis, lateAfterMillis, maySetAside } from "./ServiceTimes";
 import type { Answer, SteeringRequest } from "./SteeringRequest";
 
 const unreachableMillis = 1_000;
 const shortestRefusalMillis = 50;
 const attemptsAtMost = 3;
+const waitHeader = "Endivebridge-Wait-Millis";
 
 type DispatchResult = Result.Result<Answer, DispatchFailure>;
 
-function dispatchOptions(context: Context, service: ServiceState, slot: HeldSlot): DispatchOptions {
+function dispatchOptions(
+    context: Context,
+    service: ServiceState,
+    slot: HeldSlot,
+    idempotent: boolean
+): DispatchOptions {
     const { health, server, usableSlots } = slot.owned;
     return {
         connections: context.connections,
@@ -39,6 +45,8 @@
                 context.connections.dropIdle(server);
             }
         },
+        // A server that is late throughout may be silent on this connection only: the retry is paid for here.
+        mayAbandon: () => idempotent && health.setAside && service.retries.trySpend(),
         onAnswer: (tookMillis, wasLate) => {
             const nowMillis = monotonicMillis();
             service.answerTimes.record(tookMillis, nowMillis);
@@ -59,7 +67,7 @@
     request: SteeringRequest,
     slot: HeldSlot
 ): Effect.Effect<DispatchResult> {
-    return Effect.result(dispatchRequest(dispatchOptions(context, service, slot), request, slot));
+    return Effect.result(dispatchRequest(dispatchOptions(context, service, slot, request.idempotent), request, slot));
 }
 
 /** A second server for a request that is slow: only a free slot, only where nothing waits, only within the budget. */
@@ -110,6 +118,14 @@
     return Effect.raceFirst(first, hedgeBranch(context, service, request, others, afterMillis));
 }
 
+function refuseQuarantined(slot: HeldSlot): Effect.Effect<DispatchResult> {
+    return Effect.sync(() => {
+        slot.release();
+        const { server } = slot.owned;
+        return Result.fail({ kind: "quarantined", reason: "refused", server, ran: "no", retryAfterMillis: 0 });
+    });
+}
+
 function passOver(service: ServiceState, failure: DispatchFailure): void {
     const owned = service.pool.servers().find(each => each.server === failure.server);
     if (owned === undefined) {
@@ -126,6 +142,9 @@
 }
 
 function mayRetry(service: ServiceState, request: SteeringRequest, failure: DispatchFailure): boolean {
+    if (failure.reason === "silent") {
+        return true;
+    }
     const safe = failure.ran === "no" || request.idempotent;
     return safe && failure.reason !== "deadline" && failure.reason !== "tooLarge" && service.retries.trySpend();
 }
@@ -141,6 +160,11 @@
     });
 }
 
+/** Tells the caller how long its request waited for a slot. */
+function withWait(answer: Answer, waitedMillis: number): Answer {
+    return { ...answer, headers: [...answer.headers, [waitHeader, waitedMillis.toFixed(1)]] };
+}
+
 /** Runs a request on a backend server, its own or a peer's; a retry goes to another server. */
 export function runRequest(
     context: Context,
@@ -148,6 +172,7 @@
     request: SteeringRequest
 ): Effect.Effect<Answer, SteeringError> {
     return Effect.gen(function*() {
+        const arrivedAtMillis = monotonicMillis();
         const excluded = new Set<string>();
         const doubt: Doubt = { mayHaveRun: false };
         service.retries.earn();
@@ -158,11 +183,17 @@
             }
             const placement = yield* withDoubt(doubt, placeRequest(context, service, request, excluded, doubt));
             if (placement.kind === "answered") {
-                return placement.answer;
+                return withWait(placement.answer, placement.waitedMillis);
             }
-            const result = yield* dispatchHedged(context, service, request, placement.slot, excluded);
+            const waitedMillis = monotonicMillis() - arrivedAtMillis;
+            const result = yield* runGuarded(context, service, request, {
+                freely: dispatchHedged(context, service, request, placement.slot, excluded),
+                apart: dispatchOnce(context, service, request, placement.slot),
+                refused: refuseQuarantined(placement.slot)
+            });
             if (Result.isSuccess(result)) {
-                return result.success;
+                clearRequest(context, request);
+                return withWait(result.success, waitedMillis);
             }
             const failure = result.failure;
             passOver(service, failure);
--- a/packages/endivebridge-standins/src/BackendStandIn.ts
+++ b/packages/endivebridge-standins/src/BackendStandIn.ts
@@ -74,8 +74,8 @@
 /** Header whose value a stand-in backend server repeats in its answer's body. */
 export const tokenHeader = "x-token";
 
-/** Header in which a stand-in backend server says how long it worked. */
-export const serviceMillisHeader = "x-service-millis";
+/** Header in which a stand-in backend server says how long a request queued there. */
+export const queueMillisHeader = "x-queue-millis";
 
 /** Body that answers a token: the token, then filler of the asked length. */
 export function answerBody(token: string, bytes: number): string {
@@ -170,6 +170,8 @@
         if (!await readWhole(incoming)) {
             return;
         }
+        const arrivedAtMillis = performance.now();
+        let queuedMillis = 0;
         if (inFlight >= options.slots) {
             record.overSlotDispatches += 1;
             if (behaviour.beyondSlots === "shed") {
@@ -178,6 +180,7 @@
                 return;
             }
             await new Promise<void>(resolve => turns.push(resolve));
+            queuedMillis = performance.now() - arrivedAtMillis;
         }
         inFlight += 1;
         noteBegin(incoming, token);
@@ -214,7 +217,7 @@
         response.writeHead(200, {
             "content-length": Buffer.byteLength(body),
             "content-type": "text/plain",
-            [serviceMillisHeader]: serviceMillis.toFixed(2)
+            [queueMillisHeader]: queuedMillis.toFixed(2)
         });
         response.end(body);
     };
--- a/packages/endivebridge-standins/src/Proxy.ts
+++ b/packages/endivebridge-standins/src/Proxy.ts
@@ -29,6 +29,8 @@
     /** Resets the connections open now. */
     readonly cut: () => void;
     readonly connections: () => number;
+    /** Bytes passed so far, both ways. */
+    readonly bytes: () => number;
     readonly close: () => Promise<void>;
 }
 
@@ -134,8 +136,10 @@
         pair.silent ||= link.partitioned;
         return !pair.silent;
     };
+    let passedBytes = 0;
     const passesBack = (pair: Pair, bytes: number) => {
         pair.answerBytes += bytes;
+        passedBytes += bytes;
         if (link.truncateAfterBytes !== undefined && pair.answerBytes > link.truncateAfterBytes) {
             pair.near.destroy();
             pair.far.destroy();
@@ -153,7 +157,10 @@
         });
         const pair: Pair = { near, far, silent: link.partitioned, answerBytes: 0 };
         pairs.add(pair);
-        shape(near, far, options.forward, () => passes(pair));
+        shape(near, far, options.forward, bytes => {
+            passedBytes += bytes;
+            return passes(pair);
+        });
         shape(far, near, options.backward, bytes => passesBack(pair, bytes));
         const forget = () => {
             if (near.destroyed && far.destroyed) {
@@ -183,6 +190,7 @@
                 pair.far.resetAndDestroy();
             }),
         connections: () => pairs.size,
+        bytes: () => passedBytes,
         close: () =>
             new Promise(resolve => {
                 pairs.forEach(pair => {
--- a/packages/endivebridge-standins/src/index.ts
+++ b/packages/endivebridge-standins/src/index.ts
@@ -5,7 +5,7 @@
     type BackendRecord,
     type BackendStandIn,
     callerRegionHeader,
-    serviceMillisHeader,
+    queueMillisHeader,
     startBackendStandIn,
     tokenHeader
 } from "./BackendStandIn";
--- /dev/null
+++ b/packages/endivebridge-trace/src/index.ts
@@ -0,0 +1,1 @@
+export { orderEvents, renderHtml, renderText, type TracedEvent, type TraceFilter } from "./TimeLine";
--- /dev/null
+++ b/packages/endivebridge-trace/src/main.ts
@@ -0,0 +1,61 @@
+import { callOperator } from "@endivebridge/ctl";
+import { Effect, Result } from "effect";
+import { readFileSync, writeFileSync } from "node:fs";
+import sade from "sade";
+import packageFile from "../package.json";
+import { orderEvents, renderHtml, renderText, type TracedEvent } from "./TimeLine";
+
+const exitUnreachable = 1;
+
+interface EventsAnswer {
+    readonly events: readonly TracedEvent[];
+    readonly unreachable: readonly string[];
+}
+
+async function collect(address: string, key: string): Promise<EventsAnswer> {
+    const result = await Effect.runPromise(
+        Effect.result(callOperator({ address, key, timeoutMillis: 10_000 }, "events?after=0"))
+    );
+    if (Result.isFailure(result) || result.success.status !== 200) {
+        console.error(
+            `${address}: ${Result.isFailure(result) ? result.failure.reason : JSON.stringify(result.success.value)}`
+        );
+        process.exit(exitUnreachable);
+    }
+    return result.success.value as EventsAnswer;
+}
+
+function text(value: unknown): string | undefined {
+    return typeof value === "string" ? value : undefined;
+}
+
+sade("endivetrace", true)
+    .version(packageFile.version)
+    .describe("Shows the time line of events over all instances. Exit codes: 0 done, 1 not reachable.")
+    .option("--address", "host:port of any entry instance", process.env.ENDIVECTL_ADDRESS ?? "127.0.0.1:7080")
+    .option("--key-file", "File with the operators' key; else ENDIVECTL_KEY")
+    .option("--kind", "Only events of this kind")
+    .option("--instance", "Only events of this instance")
+    .option("--about", "Only events that mention this request, operation, server or peer")
+    .option("--html", "Write one self-contained page to this file")
+    .action(async (flags: Record<string, unknown>) => {
+        const keyFile = text(flags["key-file"]);
+        const key = keyFile === undefined ? process.env.ENDIVECTL_KEY ?? "" : readFileSync(keyFile, "utf8").trim();
+        const found = await collect(String(flags.address), key);
+        const events = orderEvents(found.events, {
+            kind: text(flags.kind),
+            instance: text(flags.instance),
+            about: text(flags.about)
+        });
+        if (found.unreachable.length > 0) {
+            console.error(`not reached: ${found.unreachable.join(", ")}`);
+        }
+        const file = text(flags.html);
+        if (file === undefined) {
+            console.log(renderText(events));
+        }
+        else {
+            writeFileSync(file, renderHtml(events));
+        }
+    })
+    .parse(process.argv);
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -2,6 +2,8 @@
 
 const programs = {
     endivebridged: "packages/endivebridge-daemon/src/main.ts",
+    endivectl: "packages/endivebridge-ctl/src/main.ts",
+    endivetrace: "packages/endivebridge-trace/src/main.ts",
     endivebench: "packages/endivebridge-bench/src/main.ts"
 };
 
--- a/scripts/check-generated.mjs
+++ b/scripts/check-generated.mjs
@@ -1,22 +1,36 @@
-// Generates the protocol code into a scratch folder and compares it with what is committed.
+// Generates code into a scratch folder and compares it with what is committed.
 import { execFileSync } from "node:child_process";
 import { cpSync, mkdtempSync, readFileSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
 
-const source = "packages/endivebridge-protocol";
 const scratch = mkdtempSync(join(tmpdir(), "endivebridge-generated-"));
-try {
-    cpSync(join(source, "proto"), join(scratch, "proto"), { recursive: true });
-    cpSync(join(source, "buf.gen.yaml"), join(scratch, "buf.gen.yaml"));
-    const path = `${resolve("node_modules/.bin")}:${process.env.PATH}`;
-    execFileSync(resolve("node_modules/.bin/buf"), ["generate"], { cwd: scratch, env: { ...process.env, PATH: path } });
-    const file = "src/generated/peer_pb.ts";
-    if (readFileSync(join(scratch, file), "utf8") !== readFileSync(join(source, file), "utf8")) {
-        console.error(`${source}/${file} is not what proto/peer.proto generates: run npm run generate`);
+const environment = { ...process.env, PATH: `${resolve("node_modules/.bin")}:${process.env.PATH}` };
+
+function run(program, parameters, folder) {
+    execFileSync(resolve("node_modules/.bin", program), parameters, { cwd: folder, env: environment });
+}
+
+function compare(committed, made) {
+    if (readFileSync(committed, "utf8") !== readFileSync(made, "utf8")) {
+        console.error(`${committed} is not what its source generates: run npm run generate`);
         process.exitCode = 1;
     }
 }
+
+try {
+    const protocol = "packages/endivebridge-protocol";
+    cpSync(join(protocol, "proto"), join(scratch, "proto"), { recursive: true });
+    cpSync(join(protocol, "buf.gen.yaml"), join(scratch, "buf.gen.yaml"));
+    run("buf", ["generate"], scratch);
+    compare(join(protocol, "src/generated/peer_pb.ts"), join(scratch, "src/generated/peer_pb.ts"));
+
+    const grammar = "packages/endivebridge-ctl";
+    cpSync(join(grammar, "grammar"), join(scratch, "grammar"), { recursive: true });
+    const made = join(scratch, "src/generated/Statement.js");
+    run("peggy", ["--format", "es", "--dts", "--output", "src/generated/Statement.js", "grammar/Statement.peggy"], scratch);
+    compare(join(grammar, "src/generated/Statement.js"), made);
+}
 finally {
     rmSync(scratch, { recursive: true, force: true });
 }
