--- a/packages/endivebridge-bench/src/World.ts
+++ b/packages/endivebridge-bench/src/World.ts
@@ -54,6 +54,7 @@
     services: Record<string, Record<string, unknown>>;
     clientBlocks: { block: string; region: string; }[];
     drains?: unknown[];
+    links?: { from: string; to: string; bytesPerSecond: number; }[];
 }
 
 /** Stand-ins, links and entry instances of one deployment, on loopback. */
@@ -75,6 +76,8 @@
     readonly regionRates: ReadonlyMap<string, SharedRate>;
     readonly leavingServers: Set<string>;
     readonly publishList: () => void;
+    /** Starts a process without waiting for it. */
+    readonly launch: (instance: InstanceProcess) => void;
     readonly startInstance: (instance: InstanceProcess) => Promise<void>;
     /** Ends one process; resolves with its exit code once it is gone. */
     readonly stopInstance: (instance: InstanceProcess, signal: NodeJS.Signals) => Promise<number | undefined>;
@@ -158,6 +161,13 @@
                 idempotentRoutes: [{ method: "GET", pathPrefix: readPath }, { method: "GET", pathPrefix: "/poison" }]
             }
         ])),
+        links: deployment.regions.flatMap(from =>
+            deployment.regions.filter(to => to !== from).map(to => ({
+                from,
+                to,
+                bytesPerSecond: deployment.regionMegabitsPerSecond * 125_000
+            }))
+        ),
         clientBlocks: deployment.regions.map(region => ({
             block: `${clientNetwork(deployment, region)}.0.0/16`,
             region
@@ -329,6 +339,14 @@
                 peers: listener(instance.peerAddress),
                 platform: { url: `http://127.0.0.1:${platformLinks.get(instance.domain)!.port}`, timeoutMillis: 1_000 },
                 keys: { operator: operatorKey, peer: peerKey },
+                seedPeers: instances.filter(each => each.instance !== instance.instance).map(each => ({
+                    instance: each.instance,
+                    failureDomain: each.domain,
+                    region: each.region,
+                    callerAddress: each.callerAddress,
+                    peerAddress: views[instance.domain]?.[each.peerAddress] ?? each.peerAddress
+                })),
+                recordDecisions: process.env.ENDIVEBENCH_RECORD !== undefined,
                 timing: options.timing ?? {}
             })
         );
@@ -475,6 +493,7 @@
         regionRates,
         leavingServers,
         publishList,
+        launch,
         startInstance: async instance => {
             launch(instance);
             await awaitReady(instance);
--- a/packages/endivebridge-bench/src/__tests__/integration/Configuration.test.ts
+++ b/packages/endivebridge-bench/src/__tests__/integration/Configuration.test.ts
@@ -23,12 +23,13 @@
 
         // An instance that starts while the platform is down learns the version in force from its peers.
         const restarted = world.instances[3]!;
+        await accept(3);
+        t.true(await until(async () => (await versions()).every(version => version === 3)));
         world.platform.faults.down = true;
         await world.stopInstance(restarted, "SIGKILL");
-        world.platform.faults.down = false;
-        await accept(3);
-        await world.startInstance(restarted);
+        world.launch(restarted);
         t.true(await until(async () => (await versions()).every(version => version === 3)));
+        world.platform.faults.down = false;
         world.platform.faults.lostAnswerShare = 1;
         await accept(4);
         world.platform.faults.lostAnswerShare = 0;
--- a/packages/endivebridge-bench/src/scenarios/SilentConnections.ts
+++ b/packages/endivebridge-bench/src/scenarios/SilentConnections.ts
@@ -7,30 +7,32 @@
 
 const load = 0.6;
 const settleMillis = 2_000;
+const warmMillis = 5_000;
 
 /** Every open connection to a third of the servers goes silent at once; new ones work. */
 export const silentConnections: Scenario = options =>
     withWorld(
         { deployment: stacklight, seed: options.seed, serviceMillis: usualServiceMillis, backendLinks: true },
         async world => {
-            const silentAtMillis = options.seconds * 500;
+            let silentAtEpochMillis = 0;
             const timer = setTimeout(() => {
+                silentAtEpochMillis = Date.now();
                 world.backends.forEach(({ standIn }, index) => {
                     if (index % 3 === 0) {
                         world.backendLinks.get(standIn.server)?.silence();
                     }
                 });
-            }, silentAtMillis);
+            }, options.seconds * 500);
             const usual = { load, serviceMillis: usualServiceMillis, readsOnly: true, deadlineMillis: 4_000 };
             const result = await world.runLoad(usualStreams(stacklight, usual), { seconds: options.seconds });
             clearTimeout(timer);
             const all = labelNamed(result, "all");
-            const settledMillis = silentAtMillis + settleMillis;
-            // The load starts some time after the timer does, so the window right after is left out too.
-            const healthy = all.windows.filter(each =>
-                each.startMillis > 5_000 && each.startMillis < silentAtMillis - 1_500
+            const silentAtMillis = silentAtEpochMillis - result.startedAtMillis;
+            const sending = all.windows.filter(each => each.startMillis < (options.seconds - 1) * 1_000);
+            const healthy = sending.filter(each =>
+                each.startMillis > warmMillis && each.startMillis < silentAtMillis - 500
             );
-            const after = all.windows.filter(each => each.startMillis >= settledMillis);
+            const after = sending.filter(each => each.startMillis >= silentAtMillis + settleMillis);
             const worst = (windows: typeof healthy) => Math.max(...windows.map(each => each.p99Millis));
             const safety = countSafety(world.records(), result);
             return {
--- /dev/null
+++ b/packages/endivebridge-core/src/EndivebridgeByteWindow.ts
@@ -0,0 +1,32 @@
+/** Counts bytes of the last second and a little more, in slices; never too few. */
+export interface ByteWindow {
+    /** Counts `bytes` if that keeps every one-second window within `most`. */
+    readonly tryAdd: (nowMillis: number, bytes: number, most: number) => boolean;
+}
+
+const sliceMillis = 50;
+const sliceCount = 21;
+
+/** Makes an empty window. */
+export function makeByteWindow(): ByteWindow {
+    const slices = new Float64Array(sliceCount);
+    let newest = 0;
+    const advance = (nowMillis: number) => {
+        const slice = Math.floor(nowMillis / sliceMillis);
+        for (let index = Math.max(newest + 1, slice - sliceCount + 1); index <= slice; index += 1) {
+            slices[index % sliceCount] = 0;
+        }
+        newest = Math.max(newest, slice);
+    };
+    return {
+        tryAdd: (nowMillis, bytes, most) => {
+            advance(nowMillis);
+            const sum = slices.reduce((total, slice) => total + slice, 0);
+            if (sum + bytes > most) {
+                return false;
+            }
+            slices[newest % sliceCount]! += bytes;
+            return true;
+        }
+    };
+}
--- a/packages/endivebridge-core/src/EndivebridgeHealth.ts
+++ b/packages/endivebridge-core/src/EndivebridgeHealth.ts
@@ -17,6 +17,7 @@
 
 const decayPerAnswer = 0.3;
 const setAsideAbove = 0.6;
+const mostlyLateAbove = 0.5;
 const letBackBelow = 0.3;
 const shortestProbeMillis = 500;
 const longestProbeMillis = 8_000;
@@ -62,6 +63,11 @@
     }
 }
 
+/** Whether a server's latest answers were late one after the other, be it set aside or not. */
+export function isMostlyLate(health: ServerHealth): boolean {
+    return health.lateShare > mostlyLateAbove;
+}
+
 /** Takes note that a probe went out, so that the next one waits. */
 export function noteProbe(health: ServerHealth, nowMillis: number): void {
     health.probeAtMillis = nowMillis + health.probeEveryMillis;
--- a/packages/endivebridge-core/src/EndivebridgePoison.ts
+++ b/packages/endivebridge-core/src/EndivebridgePoison.ts
@@ -1,7 +1,10 @@
 /** Remembers requests under which backend servers died. */
 export interface PoisonList {
-    /** Counts a server that died under a request; true once the request is quarantined. */
-    readonly strike: (fingerprint: string, server: string, nowMillis: number) => boolean;
+    /**
+     * Counts a server that died under a request; true once the request is quarantined. The first death makes it a
+     * suspect; a further one counts only where it ran apart from other suspects.
+     */
+    readonly strike: (fingerprint: string, server: string, ranApart: boolean, nowMillis: number) => boolean;
     /** Whether a server died under the request, so that it must not run beside other suspects. */
     readonly isSuspect: (fingerprint: string, nowMillis: number) => boolean;
     readonly isQuarantined: (fingerprint: string, nowMillis: number) => boolean;
@@ -9,6 +12,8 @@
     readonly clear: (fingerprint: string) => void;
     /** Takes in what a peer saw. */
     readonly learn: (struck: StruckRequest, nowMillis: number) => void;
+    /** Servers that count against a request. */
+    readonly serversOf: (fingerprint: string) => readonly string[];
     readonly quarantined: (nowMillis: number) => readonly StruckRequest[];
     readonly isEmpty: () => boolean;
 }
@@ -49,8 +54,13 @@
     };
 
     return {
-        strike: (fingerprint, server, nowMillis) =>
-            renew(fingerprint, nowMillis).servers.add(server).size >= quarantineServers,
+        strike: (fingerprint, server, ranApart, nowMillis) => {
+            const entry = renew(fingerprint, nowMillis);
+            if (ranApart || entry.servers.size === 0) {
+                entry.servers.add(server);
+            }
+            return entry.servers.size >= quarantineServers;
+        },
         isSuspect: (fingerprint, nowMillis) => living(fingerprint, nowMillis) !== undefined,
         isQuarantined: (fingerprint, nowMillis) =>
             (living(fingerprint, nowMillis)?.servers.size ?? 0) >= quarantineServers,
@@ -61,6 +71,7 @@
             const entry = renew(fingerprint, nowMillis);
             servers.forEach(server => entry.servers.add(server));
         },
+        serversOf: fingerprint => [...entries.get(fingerprint)?.servers ?? []],
         quarantined: nowMillis =>
             [...entries]
                 .filter(([, entry]) => entry.untilMillis > nowMillis && entry.servers.size >= quarantineServers)
--- a/packages/endivebridge-core/src/EndivebridgeSlots.ts
+++ b/packages/endivebridge-core/src/EndivebridgeSlots.ts
@@ -1,3 +1,4 @@
+import type { DecisionStep } from "./EndivebridgeDecision";
 import { makeServerHealth, noteProbe, rampedSlots, type ServerHealth } from "./EndivebridgeHealth";
 import { makeServerLatency, type ServerLatency } from "./EndivebridgeLatency";
 import type { ServerPicker } from "./EndivebridgeSteering";
@@ -78,6 +79,8 @@
     /** False while this instance may not use what it owns, as when its lease lapsed. */
     readonly mayDispatch: () => boolean;
     readonly nowMillis: () => number;
+    /** Told every step that changes or makes a choice, for later replay. */
+    readonly onStep?: (step: DecisionStep) => void;
 }
 
 const healthyOnly: SlotChoice = { mayProbe: false, lastResort: false };
@@ -88,11 +91,19 @@
     let waiters: Waiter[] = [];
 
     const tryAcquire = (excluded: ReadonlySet<string>, choice = healthyOnly): HeldSlot | undefined => {
-        if (!options.mayDispatch()) {
-            return undefined;
-        }
         const nowMillis = options.nowMillis();
-        const owned = options.pickServer(servers.values(), { excluded, nowMillis, ...choice });
+        const mayDispatch = options.mayDispatch();
+        const owned = mayDispatch
+            ? options.pickServer(servers.values(), { excluded, nowMillis, ...choice })
+            : undefined;
+        options.onStep?.({
+            step: "acquire",
+            atMillis: nowMillis,
+            excluded: [...excluded],
+            ...choice,
+            mayDispatch,
+            chosen: owned?.server ?? ""
+        });
         if (owned === undefined) {
             return undefined;
         }
@@ -105,6 +116,7 @@
             if (held) {
                 held = false;
                 owned.inFlight -= 1;
+                options.onStep?.({ step: "release", atMillis: options.nowMillis(), server: owned.server });
                 wake();
             }
         };
@@ -168,6 +180,7 @@
                 }
             }
             slots.forEach(assignOne);
+            options.onStep?.({ step: "assign", atMillis: options.nowMillis(), slots });
             wake();
         },
         sendElsewhere: count => finishWaiters({ kind: "elsewhere" }, count),
--- a/packages/endivebridge-core/src/__tests__/unit/EndivebridgeAdmission.test.ts
+++ b/packages/endivebridge-core/src/__tests__/unit/EndivebridgeAdmission.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import fc from "fast-check";
-import { makeSecondWindow, makeShareBudget, mayWait } from "../../index";
+import { makeByteWindow, makeSecondWindow, makeShareBudget, mayWait } from "../../index";
 
 test("no one-second window ever holds more than the cap, however arrivals fall", t => {
     fc.assert(
@@ -49,3 +49,33 @@
     t.true(spent <= 101);
     t.true(spent >= 99);
 });
+
+test("no one-second window holds more bytes than the link's share", t => {
+    const sending = fc.array(
+        fc.record({ gap: fc.integer({ min: 0, max: 300 }), bytes: fc.integer({ min: 1, max: 400 }) }),
+        {
+            maxLength: 200
+        }
+    );
+    fc.assert(
+        fc.property(sending, list => {
+            const window = makeByteWindow();
+            const sent: { at: number; bytes: number; }[] = [];
+            let nowMillis = 0;
+            for (const { gap, bytes } of list) {
+                nowMillis += gap;
+                if (window.tryAdd(nowMillis, bytes, 1_000)) {
+                    sent.push({ at: nowMillis, bytes });
+                }
+            }
+            for (const { at } of sent) {
+                const inside = sent.filter(each => each.at > at - 1_000 && each.at <= at);
+                if (inside.reduce((sum, each) => sum + each.bytes, 0) > 1_000) {
+                    throw new Error("too many bytes");
+                }
+            }
+        }),
+        { seed: 23, numRuns: 300 }
+    );
+    t.pass();
+});
--- /dev/null
+++ b/packages/endivebridge-core/src/__tests__/unit/EndivebridgePolicies.test.ts
@@ -0,0 +1,136 @@
+import test from "ava";
+import fc from "fast-check";
+import { createHash } from "node:crypto";
+import {
+    apportion,
+    compareEventTimes,
+    drainProgress,
+    makeCautiousShare,
+    makeEventClock,
+    makeRateMeter,
+    makeServerHealth,
+    noteInTime,
+    noteLate,
+    orderInstances,
+    rampedSlots
+} from "../../index";
+
+test("parts of a cap sum to it exactly, whatever the weights", t => {
+    fc.assert(
+        fc.property(
+            fc.integer({ min: 0, max: 500 }),
+            fc.array(fc.integer({ min: 0, max: 40 }), { minLength: 1 }),
+            (whole, weights) => {
+                const parts = [...weights.keys()].map(index => apportion(whole, weights, index));
+                const sum = parts.reduce((total, part) => total + part, 0);
+                const expected = weights.some(weight => weight > 0) ? whole : 0;
+                if (sum !== expected || parts.some(part => part < 0)) {
+                    throw new Error(`${sum} instead of ${expected}`);
+                }
+            }
+        ),
+        { seed: 17, numRuns: 500 }
+    );
+    t.pass();
+});
+
+test("a share falls at once and rises only after the wait", t => {
+    const share = makeCautiousShare(1_000);
+    t.is(share.update(10, 0), 0);
+    t.is(share.update(10, 999), 0);
+    t.is(share.update(10, 1_000), 10);
+    t.is(share.update(4, 1_001), 4);
+    t.is(share.update(8, 1_002), 4);
+    t.is(share.update(9, 1_900), 4);
+    t.is(share.update(9, 2_899), 4);
+    t.is(share.update(9, 2_900), 9);
+});
+
+test("three late answers running set a server aside, one straggler does not", t => {
+    const health = makeServerHealth();
+    const always = () => true;
+    noteLate(health, 0, always);
+    noteInTime(health, 1);
+    noteLate(health, 2, always);
+    t.false(health.setAside);
+    noteLate(health, 3, always);
+    noteLate(health, 4, always);
+    t.true(health.setAside);
+});
+
+test("the declared share can keep a server from being set aside", t => {
+    const health = makeServerHealth();
+    [1, 2, 3, 4, 5].forEach(millis => noteLate(health, millis, () => false));
+    t.false(health.setAside);
+});
+
+test("timely probes let a server back in, one slot after the other; late ones make them rarer", t => {
+    const health = makeServerHealth();
+    [1, 2, 3].forEach(millis => noteLate(health, millis, () => true));
+    const before = health.probeEveryMillis;
+    noteLate(health, 10, () => true);
+    t.is(health.probeEveryMillis, before * 2);
+    let probes = 0;
+    while (health.setAside) {
+        probes += 1;
+        noteInTime(health, 100 + probes);
+    }
+    t.true(probes >= 2);
+    const returnedAt = health.returnedAtMillis;
+    t.deepEqual([0, 250, 500, 5_000].map(millis => rampedSlots(health, 3, returnedAt + millis)), [1, 2, 3, 3]);
+});
+
+test("a drain follows its rate, stops at the caps and says what holds it", t => {
+    const state = { plannedShare: 0.4, demandRequestsPerSecond: 100, capRequestsPerSecond: 80 };
+    t.deepEqual(drainProgress(state), { share: 0.4, heldBy: "rate" });
+    t.deepEqual(drainProgress({ ...state, plannedShare: 0.9 }), { share: 0.72, heldBy: "caps" });
+    t.deepEqual(drainProgress({ ...state, plannedShare: 2, capRequestsPerSecond: undefined }), {
+        share: 1,
+        heldBy: "nothing"
+    });
+});
+
+test("rates follow what is counted and fall when nothing comes", t => {
+    const meter = makeRateMeter();
+    [1, 2, 3, 4].forEach(() => meter.count("fraser"));
+    meter.tick();
+    t.is(meter.rates().get("fraser"), 4);
+    meter.tick();
+    t.true(meter.rates().get("fraser")! < 4);
+});
+
+test("what follows a message comes later in the time line, also when the wall clock is behind", t => {
+    const ahead = makeEventClock(() => 5_000);
+    const behind = makeEventClock(() => 1_000);
+    const cause = ahead.now();
+    behind.observe(cause);
+    t.true(compareEventTimes(cause, behind.now()) < 0);
+    behind.observe({ wallMillis: 10_000_000, counter: 0 });
+    t.true(behind.now().wallMillis < 10_000);
+});
+
+test("the callers of a lost instance spread over all others", t => {
+    const hash = (text: string) => createHash("sha256").update(text).digest().readUInt32BE(0) / 2 ** 32;
+    const candidates = ["a", "b", "c", "d"].map(instance => ({
+        instance,
+        failureDomain: "x",
+        region: "fraser",
+        address: instance,
+        leaving: false,
+        reachable: true,
+        usableSlots: 10,
+        load: 1
+    }));
+    const first = (from: typeof candidates, client: string) =>
+        orderInstances(from, { client, service: "s", homeRegion: "fraser", mostInstances: 4 }, hash)[0]!.instance;
+    const clients = [...Array(400).keys()].map(index => `10.0.${index % 20}.${Math.floor(index / 20)}`);
+    const moved = clients.filter(client => first(candidates, client) === "a");
+    const others = candidates.filter(candidate => candidate.instance !== "a");
+    const takers = new Map<string, number>();
+    moved.forEach(client => takers.set(first(others, client), (takers.get(first(others, client)) ?? 0) + 1));
+    t.true(moved.length > 50);
+    t.is(takers.size, 3);
+    t.true(Math.max(...takers.values()) < moved.length * 0.6);
+    const stayed = clients.filter(client => !moved.includes(client));
+    t.true(stayed.every(client => first(others, client) === first(candidates, client)));
+});
--- a/packages/endivebridge-core/src/index.ts
+++ b/packages/endivebridge-core/src/index.ts
@@ -30,8 +30,10 @@
     suspectMember,
     unownedSlots
 } from "./EndivebridgeAssignment";
+export { type ByteWindow, makeByteWindow } from "./EndivebridgeByteWindow";
 export { type ClientBlock, type ClientBlocks, makeClientBlocks, parseAddress } from "./EndivebridgeClientBlocks";
 export { compareEventTimes, type EventClock, type EventTime, makeEventClock } from "./EndivebridgeClock";
+export { DecisionStep } from "./EndivebridgeDecision";
 export { type DrainProgress, drainProgress, type DrainState, makeRateMeter, type RateMeter } from "./EndivebridgeDrain";
 export {
     type ErrorAnswer,
@@ -43,6 +45,7 @@
     steeringError
 } from "./EndivebridgeErrors";
 export {
+    isMostlyLate,
     lateFactor,
     makeServerHealth,
     noteInTime,
--- a/packages/endivebridge-daemon/src/Answers.ts
+++ b/packages/endivebridge-daemon/src/Answers.ts
@@ -3,7 +3,6 @@
 import { pipeline } from "node:stream/promises";
 import type { Answer } from "./SteeringRequest";
 
-const retryAfterSeconds = 1;
 const shortestRetryMillis = 100;
 const retryUnitMillis = 1_000;
 const mostPressure = 5;
@@ -35,7 +34,7 @@
             ["Endivebridge-Error", error.kind],
             ["Endivebridge-Ran", ran],
             ["Endivebridge-Retry", retry ? "yes" : "no"],
-            ...(retry ? [["Retry-After", String(retryAfterSeconds)] as const] : [])
+            ...(retry ? [["Retry-After", String(Math.ceil(retryAfterMillis / 1_000))] as const] : [])
         ],
         body,
         rest: undefined,
--- a/packages/endivebridge-daemon/src/Context.ts
+++ b/packages/endivebridge-daemon/src/Context.ts
@@ -2,6 +2,7 @@
     AssignmentRow,
     CautiousShare,
     ClientBlocks,
+    DecisionStep,
     Journal,
     LearnedQuantile,
     Lease,
@@ -17,6 +18,7 @@
 import type { State } from "@endivebridge/shared";
 import type { Effect, Fiber, Semaphore } from "effect";
 import type { BackendConnections } from "./BackendConnections";
+import type { LinkUse } from "./Links";
 import type { LoadReport } from "./LoadReportTask";
 import type { Log } from "./Log";
 import type { Metrics } from "./Metrics";
@@ -63,6 +65,8 @@
     readonly suspects: Semaphore.Semaphore;
     /** Calls to peers that said they were full. */
     readonly tries: TryBudget;
+    /** Decayed mean size of answers in bytes. */
+    readonly answerBytes: { mean: number; };
     /** Times of whole answers of own servers. */
     readonly answerTimes: LearnedQuantile;
 }
@@ -74,11 +78,14 @@
     readonly log: Log;
     readonly metrics: Metrics;
     readonly timeLine: TimeLine;
+    /** Writes a step of the choice of servers to the log; undefined where the settings do not ask for it. */
+    readonly recordStep: ((service: string, step: DecisionStep) => void) | undefined;
     readonly platform: PlatformClient;
     readonly connections: BackendConnections;
     readonly journal: Journal<Answer>;
     readonly lease: Lease;
     readonly poison: PoisonList;
+    readonly linkUse: LinkUse;
     readonly configuration: State<ConfigurationInForce | undefined>;
     readonly instances: State<InstancesSeen>;
     readonly assignment: State<AssignmentSeen | undefined>;
--- a/packages/endivebridge-daemon/src/Daemon.ts
+++ b/packages/endivebridge-daemon/src/Daemon.ts
@@ -23,6 +23,7 @@
 import type { AssignmentSeen, ConfigurationInForce, Context, InstancesSeen, ServiceState } from "./Context";
 import { instanceListTask } from "./InstanceListTask";
 import { closeJournal, journalTask } from "./JournalTask";
+import { makeLinkUse } from "./Links";
 import { loadReportTask } from "./LoadReportTask";
 import { makeLog } from "./Log";
 import { makeMetrics } from "./Metrics";
@@ -54,12 +55,21 @@
     readonly shutDown: () => Promise<void>;
 }
 
+/** Instances that the settings name, in use until the platform's list can be read. */
+function seedEntries(settings: InstanceSettings): InstancesSeen["entries"] {
+    return settings.seedPeers.map(seed => ({ ...seed, kind: "entry", state: "live" }));
+}
+
 function makeContext(settings: InstanceSettings): Context {
     const nowMillis = monotonicMillis;
+    const log = makeLog("endivebridged", settings.instance, settings.logLevel);
     return {
         settings,
         incarnation: randomBytes(6).toString("hex"),
-        log: makeLog("endivebridged", settings.instance, settings.logLevel),
+        log,
+        recordStep: settings.recordDecisions
+            ? (service, decision) => log.info({ service, decision }, "decision")
+            : undefined,
         metrics: makeMetrics(settings.metrics, settings.instance),
         timeLine: makeTimeLine(settings.instance),
         platform: makePlatformClient(settings.platform),
@@ -74,9 +84,10 @@
             capacity: journalCapacity
         }),
         poison: makePoisonList(),
+        linkUse: makeLinkUse(),
         lease: makeLease(settings.timing.leaseMillis),
         configuration: makeState<ConfigurationInForce | undefined>(undefined),
-        instances: makeState<InstancesSeen>({ entries: [], servers: [], readAtMillis: 0 }),
+        instances: makeState<InstancesSeen>({ entries: seedEntries(settings), servers: [], readAtMillis: 0 }),
         assignment: makeState<AssignmentSeen | undefined>(undefined),
         services: new Map(),
         peers: new Map(),
@@ -88,13 +99,15 @@
 }
 
 function makeService(context: Context, service: string): ServiceState {
+    const record = context.recordStep;
     const definition = () => context.configuration.read()?.document.services[service];
     return {
         service,
         pool: makeSlotPool({
             pickServer: pickLeastCost,
             mayDispatch: () => context.lease.holds(monotonicMillis()),
-            nowMillis: monotonicMillis
+            nowMillis: monotonicMillis,
+            onStep: record === undefined ? undefined : step => record(service, step)
         }),
         retries: makeShareBudget(() => definition()?.retryShare ?? 0),
         hedges: makeShareBudget(() => definition()?.hedgeShare ?? 0),
@@ -107,6 +120,7 @@
         },
         suspects: Semaphore.makeUnsafe(1),
         tries: makeTryBudget(triesPerSecond, mostTries),
+        answerBytes: { mean: 0 },
         answerTimes: makeLearnedQuantile()
     };
 }
--- a/packages/endivebridge-daemon/src/PeerTask.ts
+++ b/packages/endivebridge-daemon/src/PeerTask.ts
@@ -148,6 +148,7 @@
             }
         }
     };
+    reconcile(context.instances.read().entries);
     const unregister = context.instances.registerListener(seen => reconcile(seen.entries));
     return () => {
         unregister();
--- a/packages/endivebridge-daemon/src/PlaceRequest.ts
+++ b/packages/endivebridge-daemon/src/PlaceRequest.ts
@@ -12,6 +12,7 @@
 import type { Context, ServiceState } from "./Context";
 import { forwardRequest } from "./ForwardRequest";
 import { enter, mayEnter } from "./Inflow";
+import { mayCross } from "./Links";
 import type { Peer } from "./Peer";
 import { usualServiceMillis } from "./ServiceTimes";
 import type { Answer, SteeringRequest } from "./SteeringRequest";
@@ -95,6 +96,9 @@
         if (!saidFree && !service.tries.trySpend(monotonicMillis())) {
             continue;
         }
+        if (!mayCross(context, service, peer, request)) {
+            continue;
+        }
         if (saidFree) {
             load.freeSlots -= 1;
         }
--- a/packages/endivebridge-daemon/src/Poison.ts
+++ b/packages/endivebridge-daemon/src/Poison.ts
@@ -14,15 +14,21 @@
 }
 
 /** Counts a server that died under a request, and tells every peer at once: its caller will send it again. */
-export function strikeRequest(context: Context, request: SteeringRequest, server: string): void {
+export function strikeRequest(
+    context: Context,
+    request: SteeringRequest,
+    server: string,
+    ranApart: boolean
+): void {
     const fingerprint = requestFingerprint(request);
-    const quarantined = context.poison.strike(fingerprint, server, monotonicMillis());
+    const quarantined = context.poison.strike(fingerprint, server, ranApart, monotonicMillis());
     context.timeLine.emit({ kind: "serverDied", server, request: request.request });
     context.log.warn(
         { request: request.request, service: request.service, server, quarantined },
         "server died under request"
     );
-    const heartbeat = makeHeartbeat(context, [{ fingerprint, servers: [server] }]);
+    // Peers learn the servers that count, not every one that died beside the request.
+    const heartbeat = makeHeartbeat(context, [{ fingerprint, servers: context.poison.serversOf(fingerprint) }]);
     for (const peer of context.peers.values()) {
         const announce = Effect.tryPromise(signal =>
             peer.client.heartbeat(heartbeat, { signal, timeoutMs: announceTimeoutMillis })
--- a/packages/endivebridge-daemon/src/RunRequest.ts
+++ b/packages/endivebridge-daemon/src/RunRequest.ts
@@ -1,6 +1,7 @@
 import {
     errorAnswers,
     type HeldSlot,
+    isMostlyLate,
     noteInTime,
     noteLate,
     type SteeringError,
@@ -10,6 +11,7 @@
 import { Effect, Result } from "effect";
 import type { Context, ServiceState } from "./Context";
 import { type DispatchFailure, type DispatchOptions, dispatchRequest } from "./DispatchRequest";
+import { noteAnswerBytes } from "./Links";
 import { type Doubt, placeRequest } from "./PlaceRequest";
 import { clearRequest, isQuarantined, runGuarded, strikeRequest } from "./Poison";
 import { hedgeAfterMillis, lateAfterMillis, maySetAside } from "./ServiceTimes";
@@ -36,7 +38,10 @@
         lateAfterMillis: lateAfterMillis(context, service),
         onLate: onReusedConnection => {
             const wasAside = health.setAside;
-            noteLate(health, monotonicMillis(), () => maySetAside(context, service, usableSlots));
+            const nowMillis = monotonicMillis();
+            const allowed = maySetAside(context, service, usableSlots);
+            noteLate(health, nowMillis, () => allowed);
+            context.recordStep?.(service.service, { step: "late", atMillis: nowMillis, server, maySetAside: allowed });
             if (health.setAside && !wasAside) {
                 context.timeLine.emit({ kind: "serverSetAside", server });
             }
@@ -46,10 +51,17 @@
             }
         },
         // A server that is late throughout may be silent on this connection only: the retry is paid for here.
-        mayAbandon: () => idempotent && health.setAside && service.retries.trySpend(),
+        mayAbandon: () => idempotent && isMostlyLate(health) && service.retries.trySpend(),
         onAnswer: (tookMillis, wasLate) => {
             const nowMillis = monotonicMillis();
             service.answerTimes.record(tookMillis, nowMillis);
+            context.recordStep?.(service.service, {
+                step: "answer",
+                atMillis: nowMillis,
+                server,
+                tookMillis,
+                late: wasLate
+            });
             if (!wasLate) {
                 const wasAside = health.setAside;
                 noteInTime(health, nowMillis);
@@ -126,7 +138,7 @@
     });
 }
 
-function passOver(service: ServiceState, failure: DispatchFailure): void {
+function passOver(context: Context, service: ServiceState, failure: DispatchFailure): void {
     const owned = service.pool.servers().find(each => each.server === failure.server);
     if (owned === undefined) {
         return;
@@ -139,6 +151,13 @@
         const pauseMillis = Math.min(unreachableMillis, Math.max(shortestRefusalMillis, failure.retryAfterMillis));
         owned.unreachableUntilMillis = nowMillis + pauseMillis;
     }
+    const untilMillis = owned.unreachableUntilMillis;
+    context.recordStep?.(service.service, {
+        step: "unreachable",
+        atMillis: nowMillis,
+        server: owned.server,
+        untilMillis
+    });
 }
 
 function mayRetry(service: ServiceState, request: SteeringRequest, failure: DispatchFailure): boolean {
@@ -161,8 +180,10 @@
 }
 
 /** Tells the caller how long its request waited for a slot. */
-function withWait(answer: Answer, waitedMillis: number): Answer {
-    return { ...answer, headers: [...answer.headers, [waitHeader, waitedMillis.toFixed(1)]] };
+function withWait(request: SteeringRequest, answer: Answer, waitedMillis: number): Answer {
+    return request.forwarded
+        ? answer
+        : { ...answer, headers: [...answer.headers, [waitHeader, waitedMillis.toFixed(1)]] };
 }
 
 /** Runs a request on a backend server, its own or a peer's; a retry goes to another server. */
@@ -183,23 +204,28 @@
             }
             const placement = yield* withDoubt(doubt, placeRequest(context, service, request, excluded, doubt));
             if (placement.kind === "answered") {
-                return withWait(placement.answer, placement.waitedMillis);
+                return withWait(request, placement.answer, placement.waitedMillis);
             }
             const waitedMillis = monotonicMillis() - arrivedAtMillis;
+            let ranApart = false;
             const result = yield* runGuarded(context, service, request, {
                 freely: dispatchHedged(context, service, request, placement.slot, excluded),
-                apart: dispatchOnce(context, service, request, placement.slot),
+                apart: Effect.suspend(() => {
+                    ranApart = true;
+                    return dispatchOnce(context, service, request, placement.slot);
+                }),
                 refused: refuseQuarantined(placement.slot)
             });
             if (Result.isSuccess(result)) {
                 clearRequest(context, request);
-                return withWait(result.success, waitedMillis);
+                noteAnswerBytes(service, result.success.body.length);
+                return withWait(request, result.success, waitedMillis);
             }
             const failure = result.failure;
-            passOver(service, failure);
+            passOver(context, service, failure);
             doubt.mayHaveRun ||= failure.ran !== "no";
             if (failure.reason === "cut") {
-                strikeRequest(context, request, failure.server);
+                strikeRequest(context, request, failure.server, ranApart);
             }
             if (attempt >= attemptsAtMost || !mayRetry(service, request, failure)) {
                 const detail = `server ${failure.server}: ${failure.reason}`;
--- a/packages/endivebridge-settings/src/Configuration.ts
+++ b/packages/endivebridge-settings/src/Configuration.ts
@@ -42,11 +42,20 @@
     startedAtEpochMillis: PositiveNumber.annotate({ description: "wall-clock start, for people and for the rate" })
 });
 
+const Link = Schema.Struct({
+    from: Name.annotate({ description: "region where bytes leave" }),
+    to: Name.annotate({ description: "region where they arrive" }),
+    bytesPerSecond: PositiveNumber.annotate({ description: "bytes a second that the link carries in this direction" })
+});
+
 /** Schema of the operators' configuration, one versioned document in the platform's table service. */
 export const Configuration = Schema.Struct({
     regions: Schema.Record(Name, Region),
     services: Schema.Record(Name, Service),
     clientBlocks: Schema.Array(Schema.Struct({ block: Block, region: Name })),
+    links: Schema.Array(Link)
+        .annotate({ description: "rates of the links between regions, shared by all traffic" })
+        .pipe(Schema.withDecodingDefaultKey(Effect.succeed([]))),
     drains: Schema.Array(DrainOrder).pipe(Schema.withDecodingDefaultKey(Effect.succeed([])))
 });
 
--- a/packages/endivebridge-settings/src/Settings.ts
+++ b/packages/endivebridge-settings/src/Settings.ts
@@ -50,6 +50,14 @@
     operationMemoryMillis: millis(600_000, "how long an operation is remembered after it began")
 });
 
+const SeedPeer = Schema.Struct({
+    instance: Name,
+    failureDomain: Name,
+    region: Name,
+    callerAddress: Schema.String.annotate({ description: "host:port for callers" }),
+    peerAddress: Schema.String.annotate({ description: "host:port for other entry instances" })
+});
+
 /** Schema of the settings file of an entry instance. */
 export const Settings = Schema.Struct({
     instance: Name.annotate({ description: "name of this entry instance, unique in the deployment" }),
@@ -63,9 +71,12 @@
         }),
         timeoutMillis: millis(2_000, "longest wait for one answer of the platform")
     }),
+    seedPeers: Schema.Array(SeedPeer)
+        .annotate({ description: "instances to ask for configuration while the platform's list cannot be read" })
+        .pipe(Schema.withDecodingDefaultKey(Effect.succeed([]))),
     keys: Schema.Struct({
-        operator: Key.annotate({ description: "key that operators' commands must bear" }),
-        peer: Key.annotate({ description: "key that entry instances show each other" })
+        operator: Key.annotate({ description: "key that operators' commands must bear; at least 16 characters" }),
+        peer: Key.annotate({ description: "key that entry instances show each other; at least 16 characters" })
     }),
     metrics: Schema.optionalKey(
         Schema.Struct({ host: Schema.String, port: Port }).annotate({ description: "statsd daemon, UDP" })
@@ -73,6 +84,9 @@
     logLevel: Schema.Literals(["debug", "info", "warn", "error"])
         .annotate({ description: "least severe log line written" })
         .pipe(Schema.withDecodingDefaultKey(Effect.succeed("info" as const))),
+    recordDecisions: Schema.Boolean
+        .annotate({ description: "write every choice of a server to the log, for endivetrace replay" })
+        .pipe(Schema.withDecodingDefaultKey(Effect.succeed(false))),
     limits: Limits.annotate({ description: "sizes and counts" }).pipe(
         Schema.withDecodingDefaultKey(Effect.succeed({}))
     ),
--- a/packages/endivebridge-trace/src/main.ts
+++ b/packages/endivebridge-trace/src/main.ts
@@ -3,9 +3,11 @@
 import { readFileSync, writeFileSync } from "node:fs";
 import sade from "sade";
 import packageFile from "../package.json";
+import { readSteps, replay } from "./Replay";
 import { orderEvents, renderHtml, renderText, type TracedEvent } from "./TimeLine";
 
 const exitUnreachable = 1;
+const exitDiffers = 2;
 
 interface EventsAnswer {
     readonly events: readonly TracedEvent[];
@@ -29,9 +31,10 @@
     return typeof value === "string" ? value : undefined;
 }
 
-sade("endivetrace", true)
-    .version(packageFile.version)
-    .describe("Shows the time line of events over all instances. Exit codes: 0 done, 1 not reachable.")
+const program = sade("endivetrace").version(packageFile.version);
+
+program
+    .command("show", "Show the time line of events over all instances", { default: true })
     .option("--address", "host:port of any entry instance", process.env.ENDIVECTL_ADDRESS ?? "127.0.0.1:7080")
     .option("--key-file", "File with the operators' key; else ENDIVECTL_KEY")
     .option("--kind", "Only events of this kind")
@@ -57,5 +60,18 @@
         else {
             writeFileSync(file, renderHtml(events));
         }
-    })
-    .parse(process.argv);
+    });
+
+program
+    .command("replay <file>", "Run recorded decisions through today's code; ends with 2 where an outcome differs")
+    .option("--service", "Only steps of this service")
+    .action((file: string, flags: Record<string, unknown>) => {
+        const service = text(flags.service);
+        const lines = readFileSync(file, "utf8").split("\n");
+        const own = lines.filter(line => service === undefined || line.includes(`"service":"${service}"`));
+        const outcome = replay(readSteps(own.join("\n")));
+        console.log(JSON.stringify(outcome, undefined, 2));
+        process.exit(outcome.differences.length === 0 ? 0 : exitDiffers);
+    });
+
+program.parse(process.argv);
