World builder split by job; configuration checked as a whole; foreign requests wait for their cap

Change: one file a job; references and blocks are checked and told with their lines; hedges count against the cap; requests of other regions wait up to a second for its window.

--- a/packages/endivebridge-bench/src/CallerProcess.ts
+++ b/packages/endivebridge-bench/src/CallerProcess.ts
@@ -28,6 +28,7 @@
     readonly wait: Histogram;
     readonly refusal: Histogram;
     readonly firstRefusal: Histogram;
+    readonly refusalInside: Histogram;
     readonly windows: Map<number, { answered: number; failed: number; readonly latency: Histogram; }>;
     readonly failedByKind: Record<string, number>;
 }
@@ -46,6 +47,7 @@
         wait: makeHistogram(),
         refusal: makeHistogram(),
         firstRefusal: makeHistogram(),
+        refusalInside: makeHistogram(),
         windows: new Map(),
         failedByKind: {}
     };
@@ -79,6 +81,7 @@
         wait: percentiles(counts.wait),
         refusal: percentiles(counts.refusal),
         firstRefusal: percentiles(counts.firstRefusal),
+        refusalInside: percentiles(counts.refusalInside),
         windows,
         failedByKind: counts.failedByKind
     };
@@ -174,7 +177,11 @@
             headers: attempt => ({ [tokenHeader]: `${token}#${attempt}`, [callerRegionHeader]: stream.region }),
             body: stream.idempotent ? undefined : token,
             idempotent: stream.idempotent,
-            onRefusal: tookMillis => both.forEach(count => recordMillis(count.firstRefusal, tookMillis)),
+            onRefusal: (tookMillis, insideMillis) =>
+                both.forEach(count => {
+                    recordMillis(count.firstRefusal, tookMillis);
+                    recordMillis(count.refusalInside, insideMillis);
+                }),
             deadlineMillis: stream.deadlineMillis
         })));
         const nowMillis = performance.now();
--- a/packages/endivebridge-bench/src/Demo.ts
+++ b/packages/endivebridge-bench/src/Demo.ts
@@ -1,8 +1,9 @@
 import { deploymentNamed } from "./Deployment";
+import { operatorKey } from "./InstanceProcesses";
 import { labelNamed, type LoadResult } from "./LoadPlan";
 import { countSafety, isSafe } from "./Safety";
 import { usualStreams } from "./Streams";
-import { operatorKey, startWorld, type World } from "./World";
+import { startWorld, type World } from "./World";
 
 /** What the demo is asked to do. */
 export interface DemoOptions {
--- a/packages/endivebridge-bench/src/Deployment.ts
+++ b/packages/endivebridge-bench/src/Deployment.ts
@@ -65,8 +65,14 @@
     return range(deployment.domainsPerRegion).map(index => `${region}-${index + 1}`);
 }
 
+/** A failure domain and its region. */
+export interface PlacedDomain {
+    readonly domain: string;
+    readonly region: string;
+}
+
 /** All failure domains of a deployment with their regions. */
-export function allDomains(deployment: Deployment): readonly { readonly domain: string; readonly region: string; }[] {
+export function allDomains(deployment: Deployment): readonly PlacedDomain[] {
     return deployment.regions.flatMap(region => domainsOf(deployment, region).map(domain => ({ domain, region })));
 }
 
--- /dev/null
+++ b/packages/endivebridge-bench/src/InstanceProcesses.ts
@@ -0,0 +1,170 @@
+import { range } from "@endivebridge/shared";
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { allDomains, type Deployment } from "./Deployment";
+import { freePorts } from "./FreePorts";
+import { programPath } from "./Programs";
+import type { WorldLinks } from "./WorldLinks";
+
+/** One `endivebridged` process of a world. */
+export interface InstanceProcess {
+    readonly instance: string;
+    readonly domain: string;
+    readonly region: string;
+    readonly callerAddress: string;
+    readonly peerAddress: string;
+    process: ChildProcess | undefined;
+    listed: "live" | "leaving" | "absent";
+}
+
+/** Starts, stops and asks the instances of a world. */
+export interface InstanceControl {
+    /** Starts a process without waiting for it. */
+    readonly launch: (instance: InstanceProcess) => void;
+    /** Waits until an instance owns slots of every service. */
+    readonly awaitReady: (instance: InstanceProcess) => Promise<void>;
+    readonly startInstance: (instance: InstanceProcess) => Promise<void>;
+    /** Ends one process; resolves with its exit code once it is gone. */
+    readonly stopInstance: (instance: InstanceProcess, signal: NodeJS.Signals) => Promise<number | undefined>;
+    readonly askOperator: (instance: InstanceProcess, path: string) => Promise<unknown>;
+    /** Gives an operator's command to an instance. */
+    readonly command: (instance: InstanceProcess, command: unknown) => Promise<unknown>;
+    /** Ends all processes and forgets their files. */
+    readonly close: () => Promise<void>;
+}
+
+/** Key of operators in every world. */
+export const operatorKey = "operator-key-of-the-bench";
+const peerKey = "peer-key-of-the-bench-world";
+const readyTimeoutMillis = 20_000;
+
+/** Plans the instances of a deployment, none of them started. */
+export async function planInstances(deployment: Deployment): Promise<readonly InstanceProcess[]> {
+    const names = allDomains(deployment).flatMap(each =>
+        range(deployment.instancesPerDomain).map(index => ({
+            ...each,
+            instance: `${each.domain}-${String.fromCharCode(97 + index)}`
+        }))
+    );
+    const ports = await freePorts(names.length * 2);
+    return names.map((each, index) => ({
+        ...each,
+        callerAddress: `127.0.0.1:${ports[index * 2]}`,
+        peerAddress: `127.0.0.1:${ports[index * 2 + 1]}`,
+        process: undefined,
+        listed: "live"
+    }));
+}
+
+function settingsOf(
+    instance: InstanceProcess,
+    instances: readonly InstanceProcess[],
+    links: WorldLinks,
+    timing: Readonly<Record<string, number>>
+) {
+    const listener = (address: string) => ({ host: "127.0.0.1", port: Number(address.split(":")[1]) });
+    return {
+        instance: instance.instance,
+        failureDomain: instance.domain,
+        region: instance.region,
+        callers: listener(instance.callerAddress),
+        peers: listener(instance.peerAddress),
+        platform: { url: `http://127.0.0.1:${links.platformLinks.get(instance.domain)!.port}`, timeoutMillis: 1_000 },
+        keys: { operator: operatorKey, peer: peerKey },
+        seedPeers: instances.filter(each => each.instance !== instance.instance).map(each => ({
+            instance: each.instance,
+            failureDomain: each.domain,
+            region: each.region,
+            callerAddress: each.callerAddress,
+            peerAddress: links.views[instance.domain]?.[each.peerAddress] ?? each.peerAddress
+        })),
+        recordDecisions: process.env.ENDIVEBENCH_RECORD !== undefined,
+        timing
+    };
+}
+
+async function call(instance: InstanceProcess, path: string, body?: unknown): Promise<unknown> {
+    const answer = await fetch(`http://${instance.callerAddress}/.endivebridge/${path}`, {
+        method: body === undefined ? "GET" : "POST",
+        headers: { authorization: `Bearer ${operatorKey}` },
+        body: body === undefined ? undefined : JSON.stringify(body)
+    });
+    return answer.json();
+}
+
+async function ownsSlots(instance: InstanceProcess): Promise<boolean> {
+    const state = await call(instance, "operator/instance") as {
+        readonly services: readonly { readonly servers: readonly { readonly usableSlots: number; }[]; }[];
+    };
+    return state.services.length > 0
+        && state.services.every(service => service.servers.some(server => server.usableSlots > 0));
+}
+
+function stop(instance: InstanceProcess, signal: NodeJS.Signals): Promise<number | undefined> {
+    return new Promise(resolve => {
+        const child = instance.process;
+        if (child === undefined || (child.exitCode ?? child.signalCode ?? undefined) !== undefined) {
+            resolve(child?.exitCode ?? undefined);
+            return;
+        }
+        child.once("exit", code => resolve(code ?? undefined));
+        child.kill(signal);
+    });
+}
+
+/** Makes the control of a world's instances; their settings and logs are kept in a scratch folder. */
+export function controlInstances(
+    instances: readonly InstanceProcess[],
+    links: WorldLinks,
+    timing: Readonly<Record<string, number>>
+): InstanceControl {
+    const folder = mkdtempSync(join(tmpdir(), "endivebridge-"));
+    const logPath = (instance: InstanceProcess) => join(folder, `${instance.instance}.log`);
+
+    const launch = (instance: InstanceProcess) => {
+        const settingsPath = join(folder, `${instance.instance}.jsonc`);
+        writeFileSync(settingsPath, JSON.stringify(settingsOf(instance, instances, links, timing)));
+        const log = openSync(logPath(instance), "a");
+        const nodeArguments = process.env.ENDIVEBENCH_NODE_ARGUMENTS?.split(" ") ?? [];
+        instance.process = spawn(process.execPath, [...nodeArguments, programPath("endivebridged"), settingsPath], {
+            stdio: ["ignore", log, log]
+        });
+    };
+
+    const awaitReady = async (instance: InstanceProcess): Promise<void> => {
+        const untilMillis = performance.now() + readyTimeoutMillis;
+        while (performance.now() < untilMillis) {
+            if (await ownsSlots(instance).catch(() => false)) {
+                return;
+            }
+            await new Promise(resolve => setTimeout(resolve, 100));
+        }
+        const log = readFileSync(logPath(instance), "utf8").slice(-2_000);
+        throw new Error(`${instance.instance} is not ready: ${log}`);
+    };
+
+    const close = async () => {
+        await Promise.all(instances.map(each => stop(each, "SIGKILL")));
+        if (process.env.ENDIVEBENCH_KEEP_LOGS === undefined) {
+            rmSync(folder, { recursive: true, force: true });
+        }
+        else {
+            console.log(`logs are kept in ${folder}`);
+        }
+    };
+
+    return {
+        launch,
+        awaitReady,
+        startInstance: async instance => {
+            launch(instance);
+            await awaitReady(instance);
+        },
+        stopInstance: stop,
+        askOperator: call,
+        command: (instance, command) => call(instance, "operator/command", command),
+        close
+    };
+}
--- a/packages/endivebridge-bench/src/LoadPlan.ts
+++ b/packages/endivebridge-bench/src/LoadPlan.ts
@@ -63,6 +63,8 @@
     readonly refusal: Percentiles;
     /** Time of the attempts that were refused as not run. */
     readonly firstRefusal: Percentiles;
+    /** The part of that time that the request spent inside the system, as instances tell it. */
+    readonly refusalInside: Percentiles;
     readonly windows: readonly LoadWindow[];
     readonly failedByKind: Readonly<Record<string, number>>;
 }
--- /dev/null
+++ b/packages/endivebridge-bench/src/Programs.ts
@@ -0,0 +1,17 @@
+import { existsSync } from "node:fs";
+import { dirname, join } from "node:path";
+import { fileURLToPath } from "node:url";
+
+/** Root folder of the repository, where the bundled programs are. */
+export function repositoryRoot(): string {
+    let folder = dirname(fileURLToPath(import.meta.url));
+    while (!existsSync(join(folder, "dprint.json"))) {
+        folder = dirname(folder);
+    }
+    return folder;
+}
+
+/** Path of a bundled program. */
+export function programPath(program: string): string {
+    return join(repositoryRoot(), "dist", `${program}.js`);
+}
--- a/packages/endivebridge-bench/src/RunBaseline.ts
+++ b/packages/endivebridge-bench/src/RunBaseline.ts
@@ -1,7 +1,8 @@
 import { fork } from "node:child_process";
 import type { BaselinePlan, BaselinePolicy } from "./Baseline";
 import type { LoadResult, LoadStream } from "./LoadPlan";
-import { programPath, type RunOptions, type World } from "./World";
+import { programPath } from "./Programs";
+import type { RunOptions, World } from "./World";
 
 /** Runs a load over the world's stand-ins through a baseline, one process for each region. */
 export async function runBaseline(
--- /dev/null
+++ b/packages/endivebridge-bench/src/WorldConfiguration.ts
@@ -0,0 +1,37 @@
+import { clientNetwork, type Deployment, domainsOf } from "./Deployment";
+
+/** Operators' configuration as the world builder writes it. */
+export interface MutableConfiguration {
+    regions: Record<string, { failureDomains: string[]; inflowCapRequestsPerSecond?: Record<string, number>; }>;
+    services: Record<string, Record<string, unknown>>;
+    clientBlocks: { block: string; region: string; }[];
+    drains?: unknown[];
+    links?: { from: string; to: string; bytesPerSecond: number; }[];
+}
+
+/** Configuration of a deployment before a scenario changes it. */
+export function baseConfiguration(deployment: Deployment): MutableConfiguration {
+    return {
+        regions: Object.fromEntries(
+            deployment.regions.map(region => [region, { failureDomains: [...domainsOf(deployment, region)] }])
+        ),
+        services: Object.fromEntries(deployment.services.map(({ service, readPath }) => [
+            service,
+            {
+                maximumDeadlineMillis: 20_000,
+                idempotentRoutes: [{ method: "GET", pathPrefix: readPath }, { method: "GET", pathPrefix: "/poison" }]
+            }
+        ])),
+        links: deployment.regions.flatMap(from =>
+            deployment.regions.filter(to => to !== from).map(to => ({
+                from,
+                to,
+                bytesPerSecond: deployment.regionMegabitsPerSecond * 125_000
+            }))
+        ),
+        clientBlocks: deployment.regions.map(region => ({
+            block: `${clientNetwork(deployment, region)}.0.0/16`,
+            region
+        }))
+    };
+}
--- /dev/null
+++ b/packages/endivebridge-bench/src/WorldLinks.ts
@@ -0,0 +1,117 @@
+import { type Link, makeSharedRate, openLink, type SharedRate } from "@endivebridge/standins";
+import { allDomains, type Deployment, type PlacedDomain } from "./Deployment";
+import type { InstanceProcess } from "./InstanceProcesses";
+import type { PlacedBackend } from "./WorldBackends";
+
+/** What the links of a world connect. */
+export interface LinkEnds {
+    readonly deployment: Deployment;
+    readonly instances: readonly InstanceProcess[];
+    readonly backends: readonly PlacedBackend[];
+    readonly platformPort: number;
+    readonly linkBackends: boolean;
+    readonly linkSiblings: boolean;
+}
+
+/** All links of a world. */
+export interface WorldLinks {
+    /** Links between entry instances, by `viewer domain>instance`. */
+    readonly peerLinks: Map<string, Link>;
+    /** Links of callers, by `region>instance`. */
+    readonly callerLinks: Map<string, Link>;
+    /** Links to the platform, by failure domain. */
+    readonly platformLinks: Map<string, Link>;
+    /** Links to backend servers, by server. */
+    readonly backendLinks: Map<string, Link>;
+    /** Address of a peer as each failure domain sees it: viewer, then real address, then seen address. */
+    readonly views: Record<string, Record<string, string>>;
+    /** Address that callers of a region connect to: region, then real address, then that address. */
+    readonly routes: Record<string, Record<string, string>>;
+    /** Lets callers of a region reach an address at their usual distance. */
+    readonly openCallerRoute: (region: string, address: string) => Promise<void>;
+    readonly close: () => Promise<void>;
+}
+
+function makeRegionRates(deployment: Deployment): ReadonlyMap<string, SharedRate> {
+    const rates = new Map<string, SharedRate>();
+    for (const from of deployment.regions) {
+        for (const to of deployment.regions.filter(region => region !== from)) {
+            rates.set(`${from}>${to}`, makeSharedRate(deployment.regionMegabitsPerSecond));
+        }
+    }
+    return rates;
+}
+
+function delayBetween(deployment: Deployment, from: PlacedDomain, to: PlacedDomain): number {
+    if (from.domain === to.domain) {
+        return 0;
+    }
+    return from.region === to.region ? deployment.domainDelayMillis : deployment.regionDelayMillis;
+}
+
+/** Opens every link with its deployment's delays and rates. */
+export async function openWorldLinks(ends: LinkEnds): Promise<WorldLinks> {
+    const { deployment } = ends;
+    const domains = allDomains(deployment);
+    const platformDomain = domains[0]!;
+    const regionRates = makeRegionRates(deployment);
+    const peerLinks = new Map<string, Link>();
+    const callerLinks = new Map<string, Link>();
+    const platformLinks = new Map<string, Link>();
+    const backendLinks = new Map<string, Link>();
+    const views: Record<string, Record<string, string>> = {};
+    const routes: Record<string, Record<string, string>> = {};
+
+    const openShaped = (fromRegion: string, toRegion: string, target: string, delayMillis: number) =>
+        openLink({
+            target,
+            forward: { delayMillis, rate: regionRates.get(`${fromRegion}>${toRegion}`) },
+            backward: { delayMillis, rate: regionRates.get(`${toRegion}>${fromRegion}`) }
+        });
+
+    const openPeerLink = async (viewer: PlacedDomain, target: InstanceProcess) => {
+        const delayMillis = delayBetween(deployment, viewer, target);
+        const link = await openShaped(viewer.region, target.region, target.peerAddress, delayMillis);
+        peerLinks.set(`${viewer.domain}>${target.instance}`, link);
+        (views[viewer.domain] ??= {})[target.peerAddress] = `127.0.0.1:${link.port}`;
+    };
+
+    const openCallerLink = async (region: string, name: string, toRegion: string, address: string) => {
+        const far = region === toRegion ? 0 : deployment.regionDelayMillis;
+        const link = await openShaped(region, toRegion, address, deployment.clientDelayMillis + far);
+        callerLinks.set(`${region}>${name}`, link);
+        (routes[region] ??= {})[address] = `127.0.0.1:${link.port}`;
+    };
+
+    for (const each of domains) {
+        const delayMillis = delayBetween(deployment, each, platformDomain);
+        const target = `127.0.0.1:${ends.platformPort}`;
+        platformLinks.set(each.domain, await openShaped(each.region, platformDomain.region, target, delayMillis));
+    }
+    for (const target of ends.instances) {
+        for (const viewer of domains.filter(each => ends.linkSiblings || each.domain !== target.domain)) {
+            await openPeerLink(viewer, target);
+        }
+        for (const region of deployment.regions) {
+            await openCallerLink(region, target.instance, target.region, target.callerAddress);
+        }
+    }
+    for (const { standIn } of ends.linkBackends ? ends.backends : []) {
+        const direction = { delayMillis: 0, rate: undefined };
+        const target = `127.0.0.1:${standIn.port}`;
+        backendLinks.set(standIn.server, await openLink({ target, forward: direction, backward: direction }));
+    }
+    return {
+        peerLinks,
+        callerLinks,
+        platformLinks,
+        backendLinks,
+        views,
+        routes,
+        openCallerRoute: (region, address) => openCallerLink(region, address, region, address),
+        close: async () => {
+            const links = [peerLinks, callerLinks, platformLinks, backendLinks].flatMap(each => [...each.values()]);
+            await Promise.all(links.map(link => link.close()));
+        }
+    };
+}
--- a/packages/endivebridge-bench/src/__tests__/integration/Faults.test.ts
+++ b/packages/endivebridge-bench/src/__tests__/integration/Faults.test.ts
@@ -27,9 +27,9 @@
             await world.askOperator(instance!, "operator/instance") as InstanceView;
         const running = runSmall(world, 0.3, { seconds: 16 });
         await pause(2_000);
-        paused!.process.kill("SIGSTOP");
+        paused!.process!.kill("SIGSTOP");
         t.true(await until(async () => usableSlots(await look(sibling)) === 12), "the sibling takes all slots over");
-        paused!.process.kill("SIGCONT");
+        paused!.process!.kill("SIGCONT");
         t.true(
             await until(async () => usableSlots(await look(paused)) === 6),
             "the woken instance gets its share back"
--- a/packages/endivebridge-bench/src/__tests__/integration/WholePath.test.ts
+++ b/packages/endivebridge-bench/src/__tests__/integration/WholePath.test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { connect } from "node:net";
-import { operatorKey } from "../../World";
+import { operatorKey } from "../../InstanceProcesses";
 import { judge, nothingWrong, runSmall, startSmall } from "./SmallWorld";
 
 interface Seen {
@@ -63,7 +63,7 @@
             seen.push({ sent: text.slice(0, 60), ...await sendRaw(entry.callerAddress, text) });
         }
         t.snapshot(seen);
-        t.is(entry.process.exitCode ?? undefined, undefined);
+        t.is(entry.process?.exitCode ?? undefined, undefined);
 
         const peer = await fetch(`http://${entry.callerAddress}/.endivebridge/operator/instance`, {
             headers: { authorization: `Bearer ${operatorKey}` }
--- a/packages/endivebridge-bench/src/main.ts
+++ b/packages/endivebridge-bench/src/main.ts
@@ -9,6 +9,7 @@
 import { drain } from "./scenarios/DrainRegion";
 import { headroom } from "./scenarios/Headroom";
 import { leavingServer } from "./scenarios/LeavingServer";
+import { lookups } from "./scenarios/Lookups";
 import { operations } from "./scenarios/Operations";
 import { overhead } from "./scenarios/Overhead";
 import { partition } from "./scenarios/Partition";
@@ -51,6 +52,7 @@
     { name: "store-outage", describe: "The table service is down, then slow", seconds: 32, scenario: storeOutage },
     { name: "partition", describe: "A failure domain is cut off for 10 s", seconds: 26, scenario: partition },
     { name: "rolling", describe: "Every instance is replaced in turn", seconds: 42, scenario: rolling },
+    { name: "lookups", describe: "Look-ups at the letter's size", seconds: 18, scenario: lookups },
     { name: "control", describe: "Cost of control at 6, 12 and 24 instances", seconds: 36, scenario: control }
 ];
 
--- a/packages/endivebridge-bench/src/scenarios/Headroom.ts
+++ b/packages/endivebridge-bench/src/scenarios/Headroom.ts
@@ -1,4 +1,4 @@
-import { stacklight } from "../Deployment";
+import { gedeon } from "../Deployment";
 import { labelNamed } from "../LoadPlan";
 import { countSafety } from "../Safety";
 import { atLeast, atMost, type Scenario } from "../ScenarioReport";
@@ -12,12 +12,12 @@
 
 /** Load from half of the slots' capacity to one and a half times as much. */
 export const headroom: Scenario = options =>
-    withWorld({ deployment: stacklight, seed: options.seed, serviceMillis }, async world => {
+    withWorld({ deployment: gedeon, seed: options.seed, serviceMillis }, async world => {
         const usual = { serviceMillis, deadlineMillis: 6_000, readsOnly: true };
-        const ramp = usualStreams(stacklight, { ...usual, load: lowestLoad, endFactor: rampFactor });
+        const ramp = usualStreams(gedeon, { ...usual, load: lowestLoad, endFactor: rampFactor });
         const ramped = await world.runLoad(ramp, { seconds: options.seconds * 0.4 });
         const seconds = options.seconds * 0.4;
-        const full = usualStreams(stacklight, { ...usual, load: lowestLoad * rampFactor });
+        const full = usualStreams(gedeon, { ...usual, load: lowestLoad * rampFactor });
         const running = world.runLoad(full, { seconds, rampSeconds: 0, warmUpSeconds: 1 });
         const busyMillis = () => world.backends.reduce((sum, { standIn }) => sum + standIn.busyMillis(), 0);
         await wait(settleMillis);
@@ -33,7 +33,12 @@
         return {
             results: [
                 summarizeRun("ramp 50% to 150%", ramped),
-                { ...summarizeRun("150%", steady), ...safety, attemptsRefused: all.firstRefusal }
+                {
+                    ...summarizeRun("150%", steady),
+                    ...safety,
+                    attemptsRefused: all.firstRefusal,
+                    refusedInside: all.refusalInside
+                }
             ],
             claims: [
                 atLeast("answered work against the slots' capacity", busy / (slots * elapsedMillis), 0.95),
--- /dev/null
+++ b/packages/endivebridge-bench/src/scenarios/Lookups.ts
@@ -0,0 +1,155 @@
+import { type ClientBlock, makeClientBlocks, orderInstances } from "@endivebridge/core";
+import { httpExchange, range } from "@endivebridge/shared";
+import { Effect } from "effect";
+import { Agent } from "node:http";
+import xxhash from "xxhash-wasm";
+import type { Deployment } from "../Deployment";
+import { makeRandom } from "../Random";
+import { atLeast, atMost, type Scenario } from "../ScenarioReport";
+import type { World } from "../World";
+import { wait, withWorld } from "./Common";
+
+const blockCount = 310_000;
+const siteCount = 180;
+const connections = 32;
+const decisions = 500_000;
+const bytesPerMegabyte = 1_048_576;
+
+const oneInstance: Deployment = {
+    name: "lookups",
+    regions: ["local"],
+    domainsPerRegion: 1,
+    instancesPerDomain: 1,
+    domainDelayMillis: 0,
+    regionDelayMillis: 0,
+    clientDelayMillis: 0,
+    regionMegabitsPerSecond: 10_000,
+    services: [{ service: "echo", servers: 1, slots: 4, readPath: "/echo", writePath: "/write", writeShare: 0 }]
+};
+
+/** Blocks of /20 to /24 over most of the address space, each of one of the sites. */
+function makeBlocks(random: () => number): readonly ClientBlock[] {
+    const found = new Map<string, ClientBlock>();
+    while (found.size < blockCount) {
+        const length = 20 + Math.floor(random() * 5);
+        const size = 2 ** (32 - length);
+        const start = Math.floor((random() * 0xdfff_ffff) / size) * size;
+        const dotted = [24, 16, 8, 0].map(shift => Math.floor(start / 2 ** shift) % 256).join(".");
+        const block = `${dotted}/${length}`;
+        found.set(block, { block, region: `site-${Math.floor(random() * siteCount)}` });
+    }
+    return [...found.values()];
+}
+
+interface InProcess {
+    readonly regionsPerSecond: number;
+    readonly decisionsPerSecond: number;
+    readonly changeMillis: number;
+    readonly buildMillis: number;
+}
+
+async function measureInProcess(blocks: readonly ClientBlock[], random: () => number): Promise<InProcess> {
+    const { h32 } = await xxhash();
+    const hash = (text: string) => h32(text) / 4_294_967_296;
+    const buildStart = performance.now();
+    const table = makeClientBlocks(blocks);
+    const buildMillis = performance.now() - buildStart;
+    const addresses = range(10_000).map(() => range(4).map(() => Math.floor(random() * 224)).join("."));
+    const candidates = range(12).map(index => ({
+        instance: `instance-${index}`,
+        failureDomain: "domain",
+        region: `site-${index % 3}`,
+        address: "127.0.0.1:1",
+        leaving: false,
+        reachable: true,
+        usableSlots: 10,
+        load: 1
+    }));
+    const regionStart = performance.now();
+    for (let index = 0; index < decisions; index += 1) {
+        table.regionOf(addresses[index % addresses.length]!);
+    }
+    const regionSeconds = (performance.now() - regionStart) / 1_000;
+    const decideStart = performance.now();
+    for (let index = 0; index < decisions / 5; index += 1) {
+        const client = addresses[index % addresses.length]!;
+        const homeRegion = table.regionOf(client) ?? "site-0";
+        orderInstances(candidates, { client, service: "echo", homeRegion, mostInstances: 4 }, hash);
+    }
+    const decideSeconds = (performance.now() - decideStart) / 1_000;
+    const changeStart = performance.now();
+    table.put([{ block: blocks[0]!.block, region: "site-1" }, { block: "1.2.3.0/25", region: "site-2" }]);
+    return {
+        regionsPerSecond: decisions / regionSeconds,
+        decisionsPerSecond: decisions / 5 / decideSeconds,
+        changeMillis: performance.now() - changeStart,
+        buildMillis
+    };
+}
+
+async function askFor(address: string, millis: number): Promise<number> {
+    const agent = new Agent({ keepAlive: true, maxSockets: connections });
+    const untilMillis = performance.now() + millis;
+    let answered = 0;
+    await Promise.all(
+        range(connections).map(async number => {
+            for (let index = 0; performance.now() < untilMillis; index += 1) {
+                const client = `10.${number}.${index % 250}.1`;
+                const url = new URL(`http://${address}/.endivebridge/lookup?service=echo&client=${client}`);
+                const answer = await Effect.runPromise(
+                    httpExchange({ url, method: "GET", agent, timeoutMillis: 5_000 })
+                );
+                answered += answer.status === 200 ? 1 : 0;
+            }
+        })
+    );
+    agent.destroy();
+    return answered;
+}
+
+async function measureHttp(world: World, seconds: number) {
+    const instance = world.instances[0]!;
+    const usage = async () =>
+        await world.askOperator(instance, "operator/instance") as {
+            readonly cpuMicros: number;
+            readonly residentBytes: number;
+        };
+    await askFor(instance.callerAddress, 3_000);
+    const before = await usage();
+    const answered = await askFor(instance.callerAddress, seconds * 1_000);
+    const after = await usage();
+    return {
+        lookupsPerCpuSecond: answered / ((after.cpuMicros - before.cpuMicros) / 1_000_000),
+        residentMegabytes: after.residentBytes / bytesPerMegabyte
+    };
+}
+
+/** Look-ups with the client blocks and sites of the letter. */
+export const lookups: Scenario = async options => {
+    const random = makeRandom(options.seed);
+    const blocks = makeBlocks(random);
+    const inProcess = await measureInProcess(blocks, random);
+    return withWorld({
+        deployment: oneInstance,
+        seed: options.seed,
+        serviceMillis: 10,
+        configure: configuration => {
+            range(siteCount).forEach(site =>
+                configuration.regions[`site-${site}`] = { failureDomains: [`domain-${site}`] }
+            );
+            configuration.clientBlocks.push(...blocks);
+        }
+    }, async world => {
+        await wait(1_000);
+        const http = await measureHttp(world, options.seconds / 3);
+        return {
+            results: [{ policy: "in process", ...inProcess }, { policy: "HTTP", ...http }],
+            claims: [
+                atLeast("HTTP look-ups a CPU second", http.lookupsPerCpuSecond, 10_000),
+                atLeast("decisions a second in process", inProcess.decisionsPerSecond, 1_000_000),
+                atMost("resident MB", http.residentMegabytes, 128),
+                atMost("a one-block change in the table, ms", inProcess.changeMillis, 10)
+            ]
+        };
+    });
+};
--- a/packages/endivebridge-bench/src/scenarios/Operations.ts
+++ b/packages/endivebridge-bench/src/scenarios/Operations.ts
@@ -1,9 +1,10 @@
 import { stacklight } from "../Deployment";
+import type { InstanceProcess } from "../InstanceProcesses";
 import { makeRandom } from "../Random";
 import { countSafety } from "../Safety";
 import { atMost, type Scenario } from "../ScenarioReport";
 import { usualStreams } from "../Streams";
-import type { InstanceProcess, World } from "../World";
+import type { World } from "../World";
 import { summarizeRun, usualServiceMillis, wait, withWorld } from "./Common";
 
 const load = 0.4;
@@ -36,9 +37,9 @@
     {
         name: "pause",
         cause: async ({ victim }) => {
-            victim.process.kill("SIGSTOP");
+            victim.process?.kill("SIGSTOP");
             await wait(pauseMillis);
-            victim.process.kill("SIGCONT");
+            victim.process?.kill("SIGCONT");
         }
     },
     {
--- a/packages/endivebridge-bench/src/scenarios/Overhead.ts
+++ b/packages/endivebridge-bench/src/scenarios/Overhead.ts
@@ -4,8 +4,9 @@
 import { type ChildProcess, fork } from "node:child_process";
 import { Agent } from "node:http";
 import type { Deployment } from "../Deployment";
+import { programPath } from "../Programs";
 import { atLeast, atMost, type PolicyResult, type Scenario } from "../ScenarioReport";
-import { programPath, startWorld, type World } from "../World";
+import { startWorld, type World } from "../World";
 
 const serviceMillis = 2;
 const requestsPerSecond = 1_000;
--- a/packages/endivebridge-caller/src/Caller.ts
+++ b/packages/endivebridge-caller/src/Caller.ts
@@ -25,8 +25,8 @@
     readonly headers?: (attempt: number) => Readonly<Record<string, string>>;
     readonly body?: string | Buffer;
     readonly idempotent: boolean;
-    /** Told the time in milliseconds that each refusal as not run took. */
-    readonly onRefusal?: (tookMillis: number) => void;
+    /** Told the time in milliseconds that each refusal as not run took, in all and inside the system. */
+    readonly onRefusal?: (tookMillis: number, insideMillis: number) => void;
     /** Time in milliseconds within which an answer is wanted, resends included. */
     readonly deadlineMillis: number;
 }
@@ -103,6 +103,10 @@
         : { kind: "unreachable", ran: "no", retry: true, waitMillis: connectFailurePauseMillis };
 }
 
+function insideMillis(result: Result.Result<HttpAnswer, HttpFailure>): number {
+    return Result.isSuccess(result) ? Number(result.success.headers["endivebridge-wait-millis"] ?? 0) : 0;
+}
+
 /** Makes a caller. */
 export function makeCaller(options: CallerOptions): Caller {
     const agent = new Agent({ keepAlive: true, maxSockets: options.connections ?? 64, timeout: 4_000 });
@@ -184,7 +188,7 @@
                 }
                 if (last.ran === "no") {
                     notRun.push(attempt);
-                    request.onRefusal?.(monotonicMillis() - sentAtMillis);
+                    request.onRefusal?.(monotonicMillis() - sentAtMillis, insideMillis(result));
                 }
                 else if (!request.idempotent) {
                     doubtful ??= target;
--- a/packages/endivebridge-daemon/src/CallerServer.ts
+++ b/packages/endivebridge-daemon/src/CallerServer.ts
@@ -8,7 +8,7 @@
 import { lookUp } from "./Lookup";
 import { answerOperator } from "./OperatorApi";
 import { serveRequest } from "./ServeRequest";
-import type { Answer } from "./SteeringRequest";
+import { type Answer, waitHeader } from "./SteeringRequest";
 
 interface Exchange {
     readonly incoming: IncomingMessage;
@@ -73,7 +73,9 @@
                 context.timeLine.emit({ kind: "requestInDoubt", request, error: kind, operation });
                 context.log.warn({ request, kind, detail, target: incoming.url }, "request in doubt");
             }
-            return errorAnswer(result.failure, request, notePressure(context, incoming, kind));
+            const answer = errorAnswer(result.failure, request, notePressure(context, incoming, kind));
+            const insideMillis = performance.now() - startedAtMillis;
+            return { ...answer, headers: [...answer.headers, [waitHeader, insideMillis.toFixed(1)]] };
         }
         notePressure(context, incoming, undefined);
         context.metrics.count("answers");
--- a/packages/endivebridge-daemon/src/Context.ts
+++ b/packages/endivebridge-daemon/src/Context.ts
@@ -59,6 +59,8 @@
     /** Requests of callers by the region they call from. */
     readonly meter: RateMeter;
     readonly inflow: SecondWindow;
+    /** Requests from other regions that wait for the cap's window to move on. */
+    readonly inflowWaiting: { count: number; };
     /** This instance's part of the cap on them; undefined without a cap. */
     readonly inflowShare: { current: number | undefined; readonly cautious: CautiousShare; };
     /** Lets one request at a time run under which a server died. */
--- a/packages/endivebridge-daemon/src/Daemon.ts
+++ b/packages/endivebridge-daemon/src/Daemon.ts
@@ -114,6 +114,7 @@
         outcomes: makeRateMeter(),
         meter: makeRateMeter(),
         inflow: makeSecondWindow(),
+        inflowWaiting: { count: 0 },
         inflowShare: {
             current: 0,
             cautious: makeCautiousShare(context.settings.timing.leaseMillis + windowMillis)
--- a/packages/endivebridge-daemon/src/PlaceRequest.ts
+++ b/packages/endivebridge-daemon/src/PlaceRequest.ts
@@ -29,6 +29,8 @@
 
 const regionPeersTried = 3;
 const farPeersTried = 1;
+const inflowPollMillis = 20;
+const longestInflowWaitMillis = 1_000;
 
 function refuse(kind: ErrorKind, detail: string): Effect.Effect<never, SteeringError> {
     return Effect.fail(steeringError(kind, detail));
@@ -154,7 +156,9 @@
                 return { kind: "answered", ...answer };
             }
             if (!mayUseOwn) {
-                return yield* refuse("capReached", "");
+                yield* waitForInflow(service, request, arrivedAtMillis);
+                tried.clear();
+                continue;
             }
             const placed = admitted || isWaitWorthwhile(context, service, request)
                 ? yield* waitInQueue(service, request, excluded, arrivedAtMillis)
@@ -175,6 +179,30 @@
     });
 }
 
+/**
+ * Waits a moment for the window of the cap to move on, so that what the cap allows is used; refuses a request that
+ * waited long enough, or that would wait behind too many others.
+ */
+function waitForInflow(
+    service: ServiceState,
+    request: SteeringRequest,
+    arrivedAtMillis: number
+): Effect.Effect<void, SteeringError> {
+    const share = service.inflowShare.current ?? 0;
+    const nowMillis = monotonicMillis();
+    const remainingMillis = request.deadlineAtMillis - nowMillis;
+    const waitedMillis = nowMillis - arrivedAtMillis;
+    const tooLong = waitedMillis > longestInflowWaitMillis || remainingMillis < waitedMillis;
+    if (service.inflowWaiting.count >= share || tooLong) {
+        return refuse("capReached", "");
+    }
+    service.inflowWaiting.count += 1;
+    const leave = Effect.sync(() => {
+        service.inflowWaiting.count -= 1;
+    });
+    return Effect.ensuring(Effect.sleep(inflowPollMillis * (0.5 + Math.random())), leave);
+}
+
 function isWaitWorthwhile(context: Context, service: ServiceState, request: SteeringRequest): boolean {
     const load = {
         waiting: service.pool.waiting(),
--- a/packages/endivebridge-daemon/src/RunRequest.ts
+++ b/packages/endivebridge-daemon/src/RunRequest.ts
@@ -11,16 +11,16 @@
 import { Effect, Result } from "effect";
 import type { Context, ServiceState } from "./Context";
 import { type DispatchFailure, type DispatchOptions, dispatchRequest } from "./DispatchRequest";
+import { enter } from "./Inflow";
 import { noteAnswerBytes } from "./Links";
 import { type Doubt, placeRequest } from "./PlaceRequest";
 import { clearRequest, isQuarantined, runGuarded, strikeRequest } from "./Poison";
 import { hedgeAfterMillis, lateAfterMillis, maySetAside } from "./ServiceTimes";
-import type { Answer, SteeringRequest } from "./SteeringRequest";
+import { type Answer, type SteeringRequest, waitHeader } from "./SteeringRequest";
 
 const unreachableMillis = 1_000;
 const shortestRefusalMillis = 50;
 const attemptsAtMost = 3;
-const waitHeader = "Endivebridge-Wait-Millis";
 
 type DispatchResult = Result.Result<Answer, DispatchFailure>;
 
@@ -83,12 +83,18 @@
 }
 
 /** A second server for a request that is slow: only a free slot, only where nothing waits, only within the budget. */
-function hedgeSlot(service: ServiceState, excluded: ReadonlySet<string>): HeldSlot | undefined {
+function hedgeSlot(
+    context: Context,
+    service: ServiceState,
+    request: SteeringRequest,
+    excluded: ReadonlySet<string>
+): HeldSlot | undefined {
     if (service.pool.waiting() > 0) {
         return undefined;
     }
     const slot = service.pool.tryAcquire(excluded);
-    if (slot !== undefined && !service.hedges.trySpend()) {
+    // A second server is a second request to the region: it counts against the cap like the first.
+    if (slot !== undefined && !(service.hedges.trySpend() && enter(context, service, request))) {
         slot.release();
         return undefined;
     }
@@ -104,7 +110,7 @@
 ): Effect.Effect<DispatchResult> =>
     Effect.gen(function*() {
         yield* Effect.sleep(afterMillis);
-        const slot = hedgeSlot(service, excluded);
+        const slot = hedgeSlot(context, service, request, excluded);
         if (slot === undefined) {
             return yield* Effect.never;
         }
--- a/packages/endivebridge-daemon/src/SteeringRequest.ts
+++ b/packages/endivebridge-daemon/src/SteeringRequest.ts
@@ -32,3 +32,6 @@
     readonly rest: NodeJS.ReadableStream | undefined;
     readonly server: string;
 }
+
+/** Header that tells a caller how long its request waited inside the system. */
+export const waitHeader = "Endivebridge-Wait-Millis";
--- a/packages/endivebridge-settings/src/ParseDocument.ts
+++ b/packages/endivebridge-settings/src/ParseDocument.ts
@@ -8,6 +8,7 @@
     printParseErrorCode
 } from "jsonc-parser";
 import { type Either, Left, Right } from "purify-ts";
+import { checkConfiguration } from "./CheckConfiguration";
 import { Configuration, type ConfigurationDocument } from "./Configuration";
 import type { DocumentFault } from "./DocumentFault";
 import { type InstanceSettings, Settings } from "./Settings";
@@ -90,5 +91,12 @@
 
 /** Reads an operators' configuration document. */
 export function parseConfiguration(text: string): Either<readonly DocumentFault[], ConfigurationDocument> {
-    return parseDocument(Configuration, text);
+    return parseDocument(Configuration, text).chain(document => {
+        const misfits = checkConfiguration(document);
+        if (misfits.length === 0) {
+            return Right(document);
+        }
+        const tree = parseTree(text, [], { allowTrailingComma: true })!;
+        return Left(misfits.map(({ path, expected }) => schemaFault(text, tree, path, expected)));
+    });
 }
--- a/packages/endivebridge-settings/src/__tests__/unit/ParseDocument.test.ts
+++ b/packages/endivebridge-settings/src/__tests__/unit/ParseDocument.test.ts
@@ -48,3 +48,21 @@
     }`);
     t.snapshot(parsed.unsafeCoerce());
 });
+
+test("what does not fit together is told with its line", t => {
+    const parsed = parseConfiguration(`{
+        "regions": {
+            "fraser": { "failureDomains": ["d1"], "inflowCapRequestsPerSecond": { "nothing": 1 } },
+            "kootenay": { "failureDomains": ["d1"] }
+        },
+        "services": { "circulation": { "idempotentRoutes": [] } },
+        "clientBlocks": [
+            { "block": "300.0.0.0/8", "region": "fraser" },
+            { "block": "10.0.0.0/33", "region": "nowhere" }
+        ],
+        "links": [{ "from": "fraser", "to": "sea", "bytesPerSecond": 1 }],
+        "drains": [{ "region": "lost", "sharePerMinute": 1, "startedAtEpochMillis": 0 }]
+    }`);
+    t.true(parsed.isLeft());
+    t.snapshot(describeFaults("configuration.jsonc", parsed.extract() as readonly DocumentFault[]));
+});
