Hedging without tasks of its own; tasks go on after a fault of one turn; a streamed answer alone frees its slot early

Cause: each hedged request forked two tasks and a timer before anything was slow; a malformed table row would have ended the ownership task for good; a cancelled request freed its slot as its connection closed, not after cancelHoldMillis. Change: one callback starts the second server when the timer fires; keepGoing guards each turn.

--- a/packages/endivebridge-daemon/src/ConfigurationTask.ts
+++ b/packages/endivebridge-daemon/src/ConfigurationTask.ts
@@ -3,6 +3,7 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import { Effect } from "effect";
 import type { Context } from "./Context";
+import { keepGoing } from "./KeepGoing";
 
 /** Key of the row that keeps one accepted version; rows are only ever inserted. */
 export function configurationKey(version: number): string {
@@ -59,7 +60,7 @@
 export const configurationTask = (context: Context): Effect.Effect<never> =>
     Effect.gen(function*() {
         for (;;) {
-            yield* Effect.ignore(readNewer(context));
+            yield* keepGoing(context, "configuration", readNewer(context));
             yield* Effect.sleep(context.settings.timing.configurationMillis * (0.9 + Math.random() * 0.2));
         }
     });
--- a/packages/endivebridge-daemon/src/DispatchRequest.ts
+++ b/packages/endivebridge-daemon/src/DispatchRequest.ts
@@ -1,6 +1,6 @@
 import { type ErrorKind, type HeldSlot, recordLatency } from "@endivebridge/core";
 import { monotonicMillis } from "@endivebridge/shared";
-import { Effect } from "effect";
+import { Result } from "effect";
 import { type IncomingMessage, request as openRequest } from "node:http";
 import type { BackendConnections } from "./BackendConnections";
 import { isHopByHop } from "./HopByHop";
@@ -93,165 +93,171 @@
         || status === 304;
 }
 
+/** How a dispatch ended. */
+export type DispatchResult = Result.Result<Answer, DispatchFailure>;
+
 /**
- * Runs one request on the backend server whose slot is held, and releases the slot when the server is done with it.
- * Interruption cancels the request; its slot stays held for `cancelHoldMillis`.
+ * Starts one request on the backend server whose slot is held, and releases the slot when the server is done with it.
+ * The result cancels the request; its slot then stays held for `cancelHoldMillis`.
  */
-export function dispatchRequest(
+export function startDispatch(
     options: DispatchOptions,
     request: SteeringRequest,
-    slot: HeldSlot
-): Effect.Effect<Answer, DispatchFailure> {
-    return Effect.callback<Answer, DispatchFailure>(resume => {
-        const { server, address, latency } = slot.owned;
-        const startedAtMillis = monotonicMillis();
-        const remainingMillis = request.deadlineAtMillis - startedAtMillis;
-        const separator = address.lastIndexOf(":");
-        let connected = false;
-        let ended = false;
-        let answering = false;
-        let late = false;
-        const lateTimer = setTimeout(() => {
-            late = true;
-            options.onLate(outgoing.reusedSocket);
-            if (outgoing.reusedSocket) {
-                watchTimer = setInterval(abandonIfSilent, watchMillis);
-                abandonIfSilent();
-            }
-        }, options.lateAfterMillis);
-        let watchTimer: NodeJS.Timeout | undefined;
-        const outgoing = openRequest({
-            host: address.slice(0, separator),
-            port: Number(address.slice(separator + 1)),
-            method: request.method,
-            path: request.path,
-            headers: outgoingHeaders(request, address, remainingMillis),
-            agent: request.idempotent ? options.connections.pooled(server) : options.connections.fresh(server),
-            setHost: false
-        });
+    slot: HeldSlot,
+    done: (result: DispatchResult) => void
+): () => void {
+    const { server, address, latency } = slot.owned;
+    const startedAtMillis = monotonicMillis();
+    const remainingMillis = request.deadlineAtMillis - startedAtMillis;
+    const separator = address.lastIndexOf(":");
+    let connected = false;
+    let ended = false;
+    let answering = false;
+    let streaming = false;
+    let late = false;
+    const lateTimer = setTimeout(() => {
+        late = true;
+        options.onLate(outgoing.reusedSocket);
+        if (outgoing.reusedSocket) {
+            watchTimer = setInterval(abandonIfSilent, watchMillis);
+            abandonIfSilent();
+        }
+    }, options.lateAfterMillis);
+    let watchTimer: NodeJS.Timeout | undefined;
+    const outgoing = openRequest({
+        host: address.slice(0, separator),
+        port: Number(address.slice(separator + 1)),
+        method: request.method,
+        path: request.path,
+        headers: outgoingHeaders(request, address, remainingMillis),
+        agent: request.idempotent ? options.connections.pooled(server) : options.connections.fresh(server),
+        setHost: false
+    });
 
-        const stopTimers = () => {
-            clearTimeout(deadlineTimer);
-            clearTimeout(lateTimer);
-            clearInterval(watchTimer);
-        };
-        const abandonIfSilent = () => {
-            if (!ended && !answering && options.mayAbandon()) {
-                fail("silent", "serverFailed", "maybe");
-            }
-        };
-        const releaseLater = () => setTimeout(slot.release, options.cancelHoldMillis);
-        const fail = (
-            reason: DispatchFailure["reason"],
-            kind: ErrorKind,
-            ran: "no" | "maybe",
-            retryAfterMillis = 0
-        ) => {
-            if (ended) {
+    const stopTimers = () => {
+        clearTimeout(deadlineTimer);
+        clearTimeout(lateTimer);
+        clearInterval(watchTimer);
+    };
+    const abandonIfSilent = () => {
+        if (!ended && !answering && options.mayAbandon()) {
+            fail("silent", "serverFailed", "maybe");
+        }
+    };
+    const releaseLater = () => setTimeout(slot.release, options.cancelHoldMillis);
+    const fail = (
+        reason: DispatchFailure["reason"],
+        kind: ErrorKind,
+        ran: "no" | "maybe",
+        retryAfterMillis = 0
+    ) => {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        stopTimers();
+        outgoing.destroy();
+        if (ran === "no") {
+            slot.release();
+        }
+        else {
+            releaseLater();
+        }
+        done(Result.fail({ kind, reason, server, ran, retryAfterMillis }));
+    };
+    const deadlineTimer = setTimeout(() => {
+        fail("deadline", connected ? "deadlineInRun" : "deadlineBeforeRun", connected ? "maybe" : "no");
+    }, remainingMillis);
+    const lost = () =>
+        fail(
+            connected ? "cut" : "unreachable",
+            connected ? "serverFailed" : "noServers",
+            connected ? "maybe" : "no"
+        );
+
+    const finish = () => {
+        ended = true;
+        stopTimers();
+        const nowMillis = monotonicMillis();
+        recordLatency(latency, nowMillis - startedAtMillis, nowMillis);
+        options.onAnswer(nowMillis - startedAtMillis, late);
+        slot.release();
+    };
+
+    outgoing.on("socket", socket => {
+        if (socket.connecting) {
+            socket.once("connect", () => connected = true);
+        }
+        else {
+            connected = true;
+        }
+    });
+    outgoing.on("error", lost);
+    outgoing.on("response", response => {
+        answering = true;
+        clearInterval(watchTimer);
+        const head = readAnswerHead(response);
+        if (!isFramed(request, response.statusCode ?? 0, head)) {
+            lost();
+            return;
+        }
+        const chunks: Buffer[] = [];
+        let length = 0;
+        const most = request.idempotent ? options.heldAnswerBytes : keptAnswerBytes;
+        const answer = (rest: IncomingMessage | undefined): Answer => ({
+            status: response.statusCode ?? 502,
+            headers: rest !== undefined && head.contentLength !== undefined
+                ? [...head.lines, ["Content-Length", head.contentLength]]
+                : head.lines,
+            body: Buffer.concat(chunks),
+            rest,
+            server
+        });
+        const onData = (chunk: Buffer) => {
+            length += chunk.length;
+            chunks.push(chunk);
+            if (length <= most || ended) {
                 return;
             }
-            ended = true;
-            stopTimers();
-            outgoing.destroy();
-            if (ran === "no") {
-                slot.release();
-            }
-            else {
-                releaseLater();
+            if (!request.idempotent) {
+                fail("tooLarge", "answerNotKept", "maybe");
+                return;
             }
-            resume(Effect.fail({ kind, reason, server, ran, retryAfterMillis }));
-        };
-        const deadlineTimer = setTimeout(() => {
-            fail("deadline", connected ? "deadlineInRun" : "deadlineBeforeRun", connected ? "maybe" : "no");
-        }, remainingMillis);
-        const lost = () =>
-            fail(
-                connected ? "cut" : "unreachable",
-                connected ? "serverFailed" : "noServers",
-                connected ? "maybe" : "no"
-            );
-
-        const finish = () => {
             ended = true;
+            streaming = true;
             stopTimers();
-            const nowMillis = monotonicMillis();
-            recordLatency(latency, nowMillis - startedAtMillis, nowMillis);
-            options.onAnswer(nowMillis - startedAtMillis, late);
-            slot.release();
+            response.off("data", onData);
+            response.pause();
+            done(Result.succeed(answer(response)));
         };
-
-        outgoing.on("socket", socket => {
-            if (socket.connecting) {
-                socket.once("connect", () => connected = true);
+        response.on("data", onData);
+        response.on("error", lost);
+        response.on("close", () => {
+            if (streaming) {
+                slot.release();
             }
-            else {
-                connected = true;
+            if (ended) {
+                return;
             }
-        });
-        outgoing.on("error", lost);
-        outgoing.on("response", response => {
-            answering = true;
-            clearInterval(watchTimer);
-            const head = readAnswerHead(response);
-            if (!isFramed(request, response.statusCode ?? 0, head)) {
+            if (!response.complete) {
                 lost();
                 return;
             }
-            const chunks: Buffer[] = [];
-            let length = 0;
-            const most = request.idempotent ? options.heldAnswerBytes : keptAnswerBytes;
-            const answer = (rest: IncomingMessage | undefined): Answer => ({
-                status: response.statusCode ?? 502,
-                headers: rest !== undefined && head.contentLength !== undefined
-                    ? [...head.lines, ["Content-Length", head.contentLength]]
-                    : head.lines,
-                body: Buffer.concat(chunks),
-                rest,
-                server
-            });
-            const onData = (chunk: Buffer) => {
-                length += chunk.length;
-                chunks.push(chunk);
-                if (length <= most || ended) {
-                    return;
-                }
-                if (!request.idempotent) {
-                    fail("tooLarge", "answerNotKept", "maybe");
-                    return;
-                }
-                ended = true;
-                stopTimers();
-                response.off("data", onData);
-                response.pause();
-                resume(Effect.succeed(answer(response)));
-            };
-            response.on("data", onData);
-            response.on("error", lost);
-            response.on("close", () => {
-                if (ended) {
-                    slot.release();
-                    return;
-                }
-                if (!response.complete) {
-                    lost();
-                    return;
-                }
-                if (head.notRun) {
-                    fail("refused", "overloaded", "no", head.retryAfterSeconds * 1_000);
-                    return;
-                }
-                finish();
-                resume(Effect.succeed(answer(undefined)));
-            });
-        });
-        outgoing.end(request.body);
-        return Effect.sync(() => {
-            if (!ended) {
-                ended = true;
-                stopTimers();
-                outgoing.destroy();
-                releaseLater();
+            if (head.notRun) {
+                fail("refused", "overloaded", "no", head.retryAfterSeconds * 1_000);
+                return;
             }
+            finish();
+            done(Result.succeed(answer(undefined)));
         });
     });
+    outgoing.end(request.body);
+    return () => {
+        if (!ended) {
+            ended = true;
+            stopTimers();
+            outgoing.destroy();
+            releaseLater();
+        }
+    };
 }
--- a/packages/endivebridge-daemon/src/InstanceListTask.ts
+++ b/packages/endivebridge-daemon/src/InstanceListTask.ts
@@ -1,7 +1,8 @@
 import type { ListedBackendServer, ListedEntryInstance } from "@endivebridge/platform";
 import { monotonicMillis } from "@endivebridge/shared";
-import { Effect, Result } from "effect";
+import { Effect } from "effect";
 import type { Context } from "./Context";
+import { keepGoing } from "./KeepGoing";
 
 const readOnce = (context: Context) =>
     Effect.gen(function*() {
@@ -15,10 +16,7 @@
 export const instanceListTask = (context: Context): Effect.Effect<never> =>
     Effect.gen(function*() {
         for (;;) {
-            const result = yield* Effect.result(readOnce(context));
-            if (Result.isFailure(result)) {
-                context.log.debug({ failure: result.failure.kind }, "instance list cannot be read");
-            }
+            yield* keepGoing(context, "instance list", readOnce(context));
             yield* Effect.sleep(context.settings.timing.instanceListMillis * (0.9 + Math.random() * 0.2));
         }
     });
--- a/packages/endivebridge-daemon/src/JournalTask.ts
+++ b/packages/endivebridge-daemon/src/JournalTask.ts
@@ -1,6 +1,7 @@
 import type { NewRow } from "@endivebridge/platform";
 import { Effect, Result } from "effect";
 import type { Context } from "./Context";
+import { keepGoing } from "./KeepGoing";
 import { closedKey, endedOperation, operationKey } from "./OperationRows";
 
 const mostRowsAtOnce = 100;
@@ -59,7 +60,7 @@
     Effect.gen(function*() {
         for (;;) {
             yield* Effect.sleep(intervalMillis(context) * (0.8 + Math.random() * 0.4));
-            yield* Effect.ignore(saveBatch(context));
+            yield* keepGoing(context, "journal", saveBatch(context));
             context.metrics.gauge("journal_entries", context.journal.size());
         }
     });
--- a/packages/endivebridge-daemon/src/OwnershipTask.ts
+++ b/packages/endivebridge-daemon/src/OwnershipTask.ts
@@ -20,6 +20,7 @@
 import { adoptedSlots, type Adoptions, noteAdoptions } from "./Adoption";
 import type { AssignmentSeen, Context } from "./Context";
 import { updateInflowShares } from "./Inflow";
+import { keepGoing } from "./KeepGoing";
 
 const expelMargin = 1.1;
 
@@ -238,7 +239,7 @@
         };
         for (;;) {
             if (!context.shutdown.read() && context.instances.read().servers.length > 0) {
-                yield* Effect.ignore(takeTurn(context, ownership));
+                yield* keepGoing(context, "ownership", takeTurn(context, ownership));
                 evaluateLease(context);
             }
             applyAssignment(context, ownership);
--- a/packages/endivebridge-daemon/src/RunRequest.ts
+++ b/packages/endivebridge-daemon/src/RunRequest.ts
@@ -10,7 +10,7 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import { Effect, Result } from "effect";
 import type { Context, ServiceState } from "./Context";
-import { type DispatchFailure, type DispatchOptions, dispatchRequest } from "./DispatchRequest";
+import { type DispatchFailure, type DispatchOptions, type DispatchResult, startDispatch } from "./DispatchRequest";
 import { enter } from "./Inflow";
 import { noteAnswerBytes } from "./Links";
 import { type Doubt, placeRequest } from "./PlaceRequest";
@@ -22,8 +22,6 @@
 const shortestRefusalMillis = 50;
 const attemptsAtMost = 3;
 
-type DispatchResult = Result.Result<Answer, DispatchFailure>;
-
 function dispatchOptions(
     context: Context,
     service: ServiceState,
@@ -79,7 +77,11 @@
     request: SteeringRequest,
     slot: HeldSlot
 ): Effect.Effect<DispatchResult> {
-    return Effect.result(dispatchRequest(dispatchOptions(context, service, slot, request.idempotent), request, slot));
+    return Effect.callback<DispatchResult>(resume => {
+        const options = dispatchOptions(context, service, slot, request.idempotent);
+        const cancel = startDispatch(options, request, slot, result => resume(Effect.succeed(result)));
+        return Effect.sync(cancel);
+    });
 }
 
 /** A second server for a request that is slow: only a free slot, only where nothing waits, only within the budget. */
@@ -101,24 +103,6 @@
     return slot;
 }
 
-const hedgeBranch = (
-    context: Context,
-    service: ServiceState,
-    request: SteeringRequest,
-    excluded: ReadonlySet<string>,
-    afterMillis: number
-): Effect.Effect<DispatchResult> =>
-    Effect.gen(function*() {
-        yield* Effect.sleep(afterMillis);
-        const slot = hedgeSlot(context, service, request, excluded);
-        if (slot === undefined) {
-            return yield* Effect.never;
-        }
-        context.metrics.count("hedges", { service: service.service });
-        const result = yield* dispatchOnce(context, service, request, slot);
-        return Result.isSuccess(result) ? result : yield* Effect.never;
-    });
-
 /** Runs an idempotent request on one server and, where that is slow, on a second; the loser is cancelled. */
 function dispatchHedged(
     context: Context,
@@ -127,13 +111,49 @@
     slot: HeldSlot,
     excluded: ReadonlySet<string>
 ): Effect.Effect<DispatchResult> {
-    const first = dispatchOnce(context, service, request, slot);
     const afterMillis = request.idempotent ? hedgeAfterMillis(context, service) : undefined;
     if (afterMillis === undefined) {
-        return first;
+        return dispatchOnce(context, service, request, slot);
     }
-    const others = new Set([...excluded, slot.owned.server]);
-    return Effect.raceFirst(first, hedgeBranch(context, service, request, others, afterMillis));
+    return Effect.callback<DispatchResult>(resume => {
+        let cancelSecond: (() => void) | undefined;
+        let firstFailure: DispatchResult | undefined;
+        const options = dispatchOptions(context, service, slot, true);
+        const cancelFirst = startDispatch(options, request, slot, result => {
+            clearTimeout(timer);
+            if (Result.isFailure(result) && cancelSecond !== undefined) {
+                // The second server may still answer.
+                firstFailure = result;
+                return;
+            }
+            cancelSecond?.();
+            resume(Effect.succeed(result));
+        });
+        const startSecond = () => {
+            const second = hedgeSlot(context, service, request, new Set([...excluded, slot.owned.server]));
+            if (second === undefined) {
+                return;
+            }
+            context.metrics.count("hedges", { service: service.service });
+            const secondOptions = dispatchOptions(context, service, second, true);
+            cancelSecond = startDispatch(secondOptions, request, second, result => {
+                cancelSecond = undefined;
+                if (Result.isSuccess(result)) {
+                    cancelFirst();
+                    resume(Effect.succeed(result));
+                }
+                else if (firstFailure !== undefined) {
+                    resume(Effect.succeed(firstFailure));
+                }
+            });
+        };
+        const timer = setTimeout(startSecond, afterMillis);
+        return Effect.sync(() => {
+            clearTimeout(timer);
+            cancelFirst();
+            cancelSecond?.();
+        });
+    });
 }
 
 function refuseQuarantined(slot: HeldSlot): Effect.Effect<DispatchResult> {
