Peers chosen for the size to come; silent peer connections are given up; callers give up silent attempts sooner

Every instance kept in touch with every other, which at 660 nodes means 659. Change: a second heartbeat without answer gives the connection up; an attempt may take a quarter of the deadline; siblings and two of each other failure domain are peers, an operation's owner is reached on demand.

--- a/packages/endivebridge-caller/src/Caller.ts
+++ b/packages/endivebridge-caller/src/Caller.ts
@@ -67,6 +67,7 @@
 const connectFailurePauseMillis = 20;
 const doubtPauseMillis = 100;
 const shortestAttemptMillis = 300;
+const attemptShare = 0.25;
 const defaultRetryAfterMillis = 300;
 
 function asRan(text: unknown): "no" | "maybe" | "yes" {
@@ -107,6 +108,15 @@
     return Result.isSuccess(result) ? Number(result.success.headers["endivebridge-wait-millis"] ?? 0) : 0;
 }
 
+/** Closes connections that wait for use: where one was lost, others to the same address may be silent. */
+function dropIdle(agent: Agent, address: string): void {
+    for (const [name, sockets] of Object.entries(agent.freeSockets)) {
+        if (name.startsWith(`${address}:`)) {
+            sockets?.forEach(socket => socket.destroy());
+        }
+    }
+}
+
 /** Makes a caller. */
 export function makeCaller(options: CallerOptions): Caller {
     const agent = new Agent({ keepAlive: true, maxSockets: options.connections ?? 64, timeout: 4_000 });
@@ -125,7 +135,10 @@
     const sendOnce = (request: CallerRequest, target: Attempt, attempt: number, deadlineAtMillis: number) => {
         const remainingMillis = Math.max(1, Math.floor(deadlineAtMillis - monotonicMillis()));
         // One silent connection must not use up the whole deadline.
-        const timeoutMillis = Math.min(remainingMillis, Math.max(shortestAttemptMillis, request.deadlineMillis / 2));
+        const timeoutMillis = Math.min(
+            remainingMillis,
+            Math.max(shortestAttemptMillis, request.deadlineMillis * attemptShare)
+        );
         return httpExchange({
             url: new URL(`http://${connectAddress(target.address)}/${request.service}${request.path}`),
             method: request.method,
@@ -185,6 +198,7 @@
                 if (Result.isFailure(result)) {
                     avoidedUntilMillis.set(target.address, monotonicMillis() + 1_000);
                     lookups.expire(request.service);
+                    dropIdle(agent, connectAddress(target.address));
                 }
                 if (last.ran === "no") {
                     notRun.push(attempt);
--- a/packages/endivebridge-core/src/__tests__/unit/EndivebridgePolicies.test.ts
+++ b/packages/endivebridge-core/src/__tests__/unit/EndivebridgePolicies.test.ts
@@ -3,6 +3,7 @@
 import { createHash } from "node:crypto";
 import {
     apportion,
+    choosePeers,
     compareEventTimes,
     drainProgress,
     makeCautiousShare,
@@ -134,3 +135,19 @@
     const stayed = clients.filter(client => !moved.includes(client));
     t.true(stayed.every(client => first(others, client) === first(candidates, client)));
 });
+
+test("today everyone is everyone's peer; at 660 instances each has its siblings and two of each other domain", t => {
+    const hash = (text: string) => createHash("sha256").update(text).digest().readUInt32BE(0) / 2 ** 32;
+    const make = (count: number, domains: number) =>
+        [...Array(count).keys()].map(index => ({ instance: `i${index}`, failureDomain: `d${index % domains}` }));
+    const today = make(12, 6);
+    t.is(choosePeers(today[0]!, today, hash).length, 11);
+    const later = make(660, 18);
+    const chosenBy = new Map<string, number>();
+    for (const self of later.slice(0, 200)) {
+        const peers = choosePeers(self, later, hash);
+        t.true(peers.length <= 36 + 34);
+        peers.forEach(peer => chosenBy.set(peer.instance, (chosenBy.get(peer.instance) ?? 0) + 1));
+    }
+    t.true(Math.max(...chosenBy.values()) < 60);
+});
--- a/packages/endivebridge-core/src/index.ts
+++ b/packages/endivebridge-core/src/index.ts
@@ -66,6 +66,7 @@
 export { type Lease, type LeaseEvidence, makeLease } from "./EndivebridgeLease";
 export { type Hash, type LookupCandidate, type LookupQuestion, orderInstances } from "./EndivebridgeLookup";
 export { formatOperationPrefix, type OperationId, parseOperationId } from "./EndivebridgeOperation";
+export { choosePeers, type PeerCandidate, peersOfOtherDomain } from "./EndivebridgePeers";
 export { makePoisonList, type PoisonList, type StruckRequest } from "./EndivebridgePoison";
 export { type LearnedQuantile, makeLearnedQuantile } from "./EndivebridgeQuantile";
 export { apportion, type CautiousShare, makeCautiousShare } from "./EndivebridgeShare";
--- a/packages/endivebridge-daemon/src/Operations.ts
+++ b/packages/endivebridge-daemon/src/Operations.ts
@@ -19,6 +19,7 @@
     runningOperation,
     storedOutcome
 } from "./OperationRows";
+import { makePeer, type Peer } from "./Peer";
 import type { Answer, SteeringRequest } from "./SteeringRequest";
 
 /** Identity of a request's content; two requests under one operation id must share it. */
@@ -148,6 +149,12 @@
         return row === undefined ? yield* Effect.fail(unreachable) : yield* answerStored(request, row.value);
     });
 
+/** A way to an owner that this instance does not keep in touch with, for one call. */
+function reachOwner(context: Context, instance: string): Peer | undefined {
+    const listed = context.instances.read().entries.find(entry => entry.instance === instance);
+    return listed === undefined || instance === context.settings.instance ? undefined : makePeer(context, listed);
+}
+
 /** Runs an operation whose id names its owner, here or there. */
 export function runOwnedOperation(
     context: Context,
@@ -171,10 +178,16 @@
             return yield* Effect.fail(steeringError("ownerUnreachable", "this incarnation is not the owner"));
         }
         const peer = context.peers.get(id.instance);
-        if (peer === undefined || peer.incarnation !== id.incarnation || peer.failing) {
+        if (peer !== undefined && (peer.incarnation !== id.incarnation || peer.failing)) {
             return yield* settleWithoutOwner(context, request, text, id, run);
         }
-        const result = yield* Effect.result(forwardOperation(peer, request));
+        const owner = peer ?? reachOwner(context, id.instance);
+        if (owner === undefined) {
+            return yield* settleWithoutOwner(context, request, text, id, run);
+        }
+        const result = yield* Effect.result(
+            Effect.ensuring(forwardOperation(owner, request), Effect.sync(() => peer ?? owner.close()))
+        );
         if (Result.isSuccess(result)) {
             return result.success;
         }
--- a/packages/endivebridge-daemon/src/PeerServer.ts
+++ b/packages/endivebridge-daemon/src/PeerServer.ts
@@ -11,14 +11,12 @@
 import { answerHeartbeat, describeLoad } from "./Heartbeat";
 import { isRightKey } from "./Keys";
 import { runOwnedOperation } from "./Operations";
+import { peerKeyHeader } from "./Peer";
 import { runRequest } from "./RunRequest";
 import type { Answer, SteeringRequest } from "./SteeringRequest";
 
 const forwardedAnswerBytes = 16 * 1_048_576;
 
-/** Header in which entry instances show each other their key. */
-export const peerKeyHeader = "endivebridge-peer-key";
-
 async function collectRest(answer: Answer): Promise<Buffer> {
     const chunks: Buffer[] = [answer.body];
     let length = answer.body.length;
--- a/packages/endivebridge-daemon/src/PeerTask.ts
+++ b/packages/endivebridge-daemon/src/PeerTask.ts
@@ -1,54 +1,15 @@
-import { createClient } from "@connectrpc/connect";
-import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { choosePeers } from "@endivebridge/core";
 import type { ListedEntryInstance } from "@endivebridge/platform";
-import { PeerService } from "@endivebridge/protocol";
 import { monotonicMillis } from "@endivebridge/shared";
 import { Effect, Fiber, Result } from "effect";
 import { applyConfiguration } from "./ConfigurationTask";
 import type { Context } from "./Context";
 import { makeHeartbeat, notePeer } from "./Heartbeat";
-import type { Peer } from "./Peer";
-import { peerKeyHeader } from "./PeerServer";
+import { lookupHash } from "./LookupHash";
+import { makePeer, type Peer } from "./Peer";
 
 const farPeerFactor = 4;
 const heartbeatsPerSecond = 10;
-const pingIntervalMillis = 10_000;
-const pingTimeoutMillis = 2_000;
-
-/** Opens the way to a peer; its HTTP/2 connection is made on first use and renewed when a PING goes unanswered. */
-export function makePeer(context: Context, listed: ListedEntryInstance): Peer {
-    const baseUrl = `http://${listed.peerAddress}`;
-    const sessionManager = new Http2SessionManager(baseUrl, {
-        pingIntervalMs: pingIntervalMillis,
-        pingTimeoutMs: pingTimeoutMillis,
-        idleConnectionTimeoutMs: 60_000
-    });
-    const transport = createConnectTransport({
-        baseUrl,
-        httpVersion: "2",
-        sessionManager,
-        interceptors: [next => request => {
-            request.header.set(peerKeyHeader, context.settings.keys.peer);
-            return next(request);
-        }]
-    });
-    return {
-        instance: listed.instance,
-        failureDomain: listed.failureDomain,
-        region: listed.region,
-        peerAddress: listed.peerAddress,
-        client: createClient(PeerService, transport),
-        incarnation: "",
-        configurationVersion: 0,
-        mintEpoch: 0,
-        leaving: listed.state === "leaving",
-        heardAtMillis: 0,
-        promisedAtMillis: 0,
-        failing: false,
-        loads: new Map(),
-        close: () => sessionManager.abort()
-    };
-}
 
 /** Time in milliseconds between heartbeats to a peer: siblings most often, all slower where there are many. */
 export function heartbeatIntervalMillis(
@@ -111,6 +72,10 @@
                 Effect.catchCause(beatOnce(context, peer), () => Effect.fail("failed"))
             );
             if (Result.isFailure(result)) {
+                // One late answer is no reason to cut what else the connection carries.
+                if (peer.failing) {
+                    peer.reconnect();
+                }
                 noteSilent(context, peer);
                 context.log.debug({ peer: peer.instance }, "heartbeat failed");
             }
@@ -118,7 +83,7 @@
         }
     });
 
-/** Keeps one task for each listed peer; a peer that is no longer listed goes once it is silent too. */
+/** Keeps one task for each chosen peer; a peer that is no longer listed goes once it is silent too. */
 export function registerPeerTasks(context: Context): () => void {
     const tasks = new Map<string, Fiber.Fiber<unknown, unknown>>();
     const stop = (instance: string) => {
@@ -131,12 +96,13 @@
         tasks.delete(instance);
     };
     const reconcile = (listed: readonly ListedEntryInstance[]) => {
-        const wanted = new Map(listed.map(each => [each.instance, each]));
-        wanted.delete(context.settings.instance);
+        const chosen = choosePeers(context.settings, listed, lookupHash);
+        const wanted = new Map(chosen.map(each => [each.instance, each]));
         for (const [instance, peer] of context.peers) {
             const entry = wanted.get(instance);
-            const silent = peer.failing || peer.heardAtMillis === 0;
-            if (entry === undefined ? silent : entry.peerAddress !== peer.peerAddress) {
+            const isListed = listed.some(each => each.instance === instance);
+            const gone = isListed || peer.failing || peer.heardAtMillis === 0;
+            if (entry === undefined ? gone : entry.peerAddress !== peer.peerAddress) {
                 stop(instance);
             }
         }
