Instances take their share sooner; the bench takes its processes along

A bench that was ended left its instances running. Change: turns come four times as often while an instance owns nothing; instances end with the bench.

--- a/packages/endivebridge-bench/src/InstanceProcesses.ts
+++ b/packages/endivebridge-bench/src/InstanceProcesses.ts
@@ -121,6 +121,8 @@
     timing: Readonly<Record<string, number>>
 ): InstanceControl {
     const folder = mkdtempSync(join(tmpdir(), "endivebridge-"));
+    // Whatever ends this process, its instances must not outlive it.
+    process.once("exit", () => instances.forEach(each => each.process?.kill("SIGKILL")));
     const logPath = (instance: InstanceProcess) => join(folder, `${instance.instance}.log`);
 
     const launch = (instance: InstanceProcess) => {
--- a/packages/endivebridge-bench/src/main.ts
+++ b/packages/endivebridge-bench/src/main.ts
@@ -56,6 +56,8 @@
     { name: "control", describe: "Cost of control at 6, 12 and 24 instances", seconds: 36, scenario: control }
 ];
 
+const exitStopped = 130;
+
 function finish(run: Promise<number>): void {
     run.then(code => process.exit(code), (error: unknown) => {
         console.error(error instanceof Error ? error.stack : String(error));
@@ -63,6 +65,8 @@
     });
 }
 
+process.once("SIGTERM", () => process.exit(exitStopped));
+
 const program = sade("endivebench").version(packageFile.version);
 
 program
--- a/packages/endivebridge-daemon/src/OwnershipTask.ts
+++ b/packages/endivebridge-daemon/src/OwnershipTask.ts
@@ -23,6 +23,7 @@
 import { keepGoing } from "./KeepGoing";
 
 const expelMargin = 1.1;
+const unsettledFactor = 4;
 
 /** What the ownership task remembers between its turns. */
 interface Ownership {
@@ -30,6 +31,8 @@
     readonly giving: Map<string, number>;
     readonly adoptions: Adoptions;
     leaseHeld: boolean;
+    /** Whether the last turn found nothing to do. */
+    settled: boolean;
     /** Monotonic time at which a member was first seen suspected, by instance. */
     readonly suspectedSinceMillis: Map<string, number>;
     /** Monotonic time at which a member was first seen at all, by instance. */
@@ -195,7 +198,9 @@
     Effect.gen(function*() {
         const seen = yield* readAssignment(context);
         const next = nextRow(context, ownership, seen.row);
-        if (JSON.stringify(next) !== JSON.stringify(seen.row)) {
+        const changed = JSON.stringify(next) !== JSON.stringify(seen.row);
+        ownership.settled = !changed && ownsShare(context, next);
+        if (changed) {
             const written = yield* writeAssignment(context, seen, next);
             if (written) {
                 noteAdoptions(ownership.adoptions, context.settings.instance, seen.row, next, monotonicMillis());
@@ -213,6 +218,11 @@
     }
 }
 
+/** Whether nothing of this instance's share is missing; while a sibling has yet to release it, turns come sooner. */
+function ownsShare(context: Context, row: AssignmentRow): boolean {
+    return heldSlots(row, context.settings.instance).size > 0;
+}
+
 /** Extends the lease without the platform, from siblings' promises or from isolation. */
 function evaluateLease(context: Context): void {
     const members = context.assignment.read()?.row.members ?? [];
@@ -234,6 +244,7 @@
             giving: new Map(),
             adoptions: new Map(),
             leaseHeld: false,
+            settled: false,
             suspectedSinceMillis: new Map(),
             memberSinceMillis: new Map()
         };
@@ -244,7 +255,8 @@
             }
             applyAssignment(context, ownership);
             noteLease(context, ownership);
-            yield* Effect.sleep(context.settings.timing.assignmentMillis * (0.9 + Math.random() * 0.2));
+            const pauseMillis = context.settings.timing.assignmentMillis / (ownership.settled ? 1 : unsettledFactor);
+            yield* Effect.sleep(pauseMillis * (0.9 + Math.random() * 0.2));
         }
     });
 
