Control costs less: conditional reads, slower turns, kept connections for load reports; config scenario

Change: If-None-Match on what is read again and again; list, row and configuration once a second; 5 heartbeats a second; a quarter of the deadline only for operations, whose resends join.

--- a/packages/endivebridge-bench/src/main.ts
+++ b/packages/endivebridge-bench/src/main.ts
@@ -5,6 +5,7 @@
 import { runDemo } from "./Demo";
 import { servePassThrough } from "./PassThrough";
 import { reportScenario, type Scenario } from "./ScenarioReport";
+import { config } from "./scenarios/Config";
 import { control } from "./scenarios/Control";
 import { drain } from "./scenarios/DrainRegion";
 import { headroom } from "./scenarios/Headroom";
@@ -51,6 +52,7 @@
     },
     { name: "store-outage", describe: "The table service is down, then slow", seconds: 32, scenario: storeOutage },
     { name: "partition", describe: "A failure domain is cut off for 10 s", seconds: 26, scenario: partition },
+    { name: "config", describe: "Operators in conflict while the platform flaps", seconds: 30, scenario: config },
     { name: "rolling", describe: "Every instance is replaced in turn", seconds: 42, scenario: rolling },
     { name: "lookups", describe: "Look-ups at the letter's size", seconds: 18, scenario: lookups },
     { name: "control", describe: "Cost of control at 6, 12 and 24 instances", seconds: 36, scenario: control }
--- a/packages/endivebridge-caller/src/Caller.ts
+++ b/packages/endivebridge-caller/src/Caller.ts
@@ -67,7 +67,8 @@
 const connectFailurePauseMillis = 20;
 const doubtPauseMillis = 100;
 const shortestAttemptMillis = 300;
-const attemptShare = 0.25;
+const readAttemptShare = 0.5;
+const operationAttemptShare = 0.25;
 const defaultRetryAfterMillis = 300;
 
 function asRan(text: unknown): "no" | "maybe" | "yes" {
@@ -134,10 +135,12 @@
 
     const sendOnce = (request: CallerRequest, target: Attempt, attempt: number, deadlineAtMillis: number) => {
         const remainingMillis = Math.max(1, Math.floor(deadlineAtMillis - monotonicMillis()));
-        // One silent connection must not use up the whole deadline.
+        // One silent connection must not use up the whole deadline. A resent operation joins the run that goes on; a
+        // resent read is work done twice, so it waits longer.
+        const share = request.idempotent ? readAttemptShare : operationAttemptShare;
         const timeoutMillis = Math.min(
             remainingMillis,
-            Math.max(shortestAttemptMillis, request.deadlineMillis * attemptShare)
+            Math.max(shortestAttemptMillis, request.deadlineMillis * share)
         );
         return httpExchange({
             url: new URL(`http://${connectAddress(target.address)}/${request.service}${request.path}`),
--- a/packages/endivebridge-daemon/src/LoadReportTask.ts
+++ b/packages/endivebridge-daemon/src/LoadReportTask.ts
@@ -1,5 +1,6 @@
 import { httpExchange, monotonicMillis } from "@endivebridge/shared";
 import { Effect, Result } from "effect";
+import { Agent } from "node:http";
 import type { Context } from "./Context";
 
 /** A backend server's own word on its load; it may lag or mislead. */
@@ -10,8 +11,9 @@
     readonly sentAtMillis: number;
 }
 
+const agent = new Agent({ keepAlive: true, maxSockets: 1, timeout: 5_000 });
 const reportTimeoutMillis = 1_000;
-const reportIntervalMillis = 1_000;
+const reportIntervalMillis = 2_000;
 
 const readReport = (context: Context, server: string, address: string, ownInFlight: number) =>
     Effect.gen(function*() {
@@ -19,6 +21,7 @@
         const answer = yield* httpExchange({
             url: new URL(`http://${address}/load`),
             method: "GET",
+            agent,
             timeoutMillis: reportTimeoutMillis,
             maximumAnswerBytes: 4_096
         });
--- a/packages/endivebridge-daemon/src/PeerTask.ts
+++ b/packages/endivebridge-daemon/src/PeerTask.ts
@@ -9,7 +9,7 @@
 import { makePeer, type Peer } from "./Peer";
 
 const farPeerFactor = 4;
-const heartbeatsPerSecond = 10;
+const heartbeatsPerSecond = 5;
 
 /** Time in milliseconds between heartbeats to a peer: siblings most often, all slower where there are many. */
 export function heartbeatIntervalMillis(
--- a/packages/endivebridge-platform/src/PlatformClient.ts
+++ b/packages/endivebridge-platform/src/PlatformClient.ts
@@ -51,6 +51,11 @@
     readonly timeoutMillis: number;
 }
 
+interface ValidatedAnswer {
+    readonly etag: string;
+    readonly answer: HttpAnswer;
+}
+
 interface Envelope {
     readonly writeIds: readonly string[];
     readonly value: unknown;
@@ -58,6 +63,7 @@
 
 const rememberedWriteIds = 16;
 const settleAttempts = 3;
+const mostValidated = 8;
 
 const EnvelopeSchema = Schema.Struct({ writeIds: Schema.Array(Schema.String), value: Schema.Unknown });
 const ScanSchema = Schema.Array(Schema.Struct({ key: Schema.String, version: Schema.Int, value: Schema.Unknown }));
@@ -88,6 +94,7 @@
 /** Makes a client of the platform's HTTP interface. */
 export function makePlatformClient(options: PlatformOptions): PlatformClient {
     const agent = new Agent({ keepAlive: true, maxSockets: 16, timeout: 1_000 });
+    const validated = new Map<string, ValidatedAnswer>();
     let failedSince: number | undefined;
     let lastFailedAttempt: number | undefined;
 
@@ -113,9 +120,28 @@
             );
         });
 
+    // What is read again and again is asked for only if it changed.
+    const callIfChanged = (path: string) =>
+        Effect.gen(function*() {
+            const known = validated.get(path);
+            const answer = yield* call("GET", path, known === undefined ? {} : { "if-none-match": known.etag });
+            if (answer.status === 304 && known !== undefined) {
+                return known.answer;
+            }
+            const { etag } = answer.headers;
+            validated.delete(path);
+            if (etag !== undefined) {
+                validated.set(path, { etag, answer });
+            }
+            if (validated.size > mostValidated) {
+                validated.delete(validated.keys().next().value!);
+            }
+            return answer;
+        });
+
     const readEnvelope = (key: string) =>
         Effect.gen(function*() {
-            const answer = yield* call("GET", `/table/${encodeURIComponent(key)}`);
+            const answer = yield* callIfChanged(`/table/${encodeURIComponent(key)}`);
             if (answer.status === 404) {
                 return undefined;
             }
@@ -214,7 +240,11 @@
             ),
         writeObject: (key, body) => Effect.asVoid(call("PUT", `/objects/${encodeURIComponent(key)}`, {}, body)),
         listObjects: prefix => scan(`/objects?prefix=${encodeURIComponent(prefix)}`, KeysSchema),
-        listInstances: viewer => scan(`/instances?viewer=${encodeURIComponent(viewer)}`, ListedInstances),
+        listInstances: viewer =>
+            Effect.gen(function*() {
+                const answer = yield* callIfChanged(`/instances?viewer=${encodeURIComponent(viewer)}`);
+                return yield* decode(ListedInstances, yield* parseJson(answer.body));
+            }),
         failedSinceMillis: () => failedSince,
         lastFailedAttemptMillis: () => lastFailedAttempt
     };
--- a/packages/endivebridge-settings/src/Settings.ts
+++ b/packages/endivebridge-settings/src/Settings.ts
@@ -37,11 +37,11 @@
 });
 
 const Timing = Schema.Struct({
-    heartbeatMillis: millis(250, "time between heartbeats to each peer"),
+    heartbeatMillis: millis(500, "time between heartbeats to each sibling; four times as long to other peers"),
     leaseMillis: millis(3_000, "how long ownership of slots outlives its last confirmation"),
-    instanceListMillis: millis(500, "time between reads of the platform's instance list"),
-    assignmentMillis: millis(500, "time between reads of the failure domain's assignment row"),
-    configurationMillis: millis(500, "time between looks for a newer configuration"),
+    instanceListMillis: millis(1_000, "time between reads of the platform's instance list"),
+    assignmentMillis: millis(1_000, "time between reads of the failure domain's assignment row"),
+    configurationMillis: millis(1_000, "time between looks for a newer configuration"),
     lookupLifeMillis: millis(5_000, "mean life of a look-up answer"),
     drainMillis: millis(10_000, "longest graceful shutdown"),
     connectionIdleMillis: millis(1_000, "idle time after which a backend connection is not used again"),
--- a/packages/endivebridge-standins/src/PlatformStandIn.ts
+++ b/packages/endivebridge-standins/src/PlatformStandIn.ts
@@ -39,6 +39,7 @@
 }
 
 interface ListVersion {
+    readonly version: number;
     readonly setAtMillis: number;
     readonly instances: readonly unknown[];
 }
@@ -79,7 +80,7 @@
     const rows = new Map<string, StoredRow>();
     const objects = new Map<string, Buffer>();
     const faults: PlatformFaults = { down: false, delayMillis: 0, lostAnswerShare: 0, listLagMillis: 0 };
-    let lists: ListVersion[] = [{ setAtMillis: Number.NEGATIVE_INFINITY, instances: [] }];
+    let lists: ListVersion[] = [{ version: 0, setAtMillis: Number.NEGATIVE_INFINITY, instances: [] }];
     let views: Readonly<Record<string, Readonly<Record<string, string>>>> = {};
     let writes = 0;
     let reads = 0;
@@ -121,6 +122,10 @@
         }
         if (incoming.method === "GET") {
             const stored = rows.get(key);
+            if (stored !== undefined && incoming.headers["if-none-match"] === `"${stored.version}"`) {
+                reply(response, 304, "", stored.version);
+                return;
+            }
             reply(response, stored === undefined ? 404 : 200, JSON.stringify(stored?.value ?? {}), stored?.version);
             return;
         }
@@ -166,16 +171,20 @@
         reply(response, stored === undefined ? 404 : 200, stored ?? "");
     };
 
-    const serveInstances = (response: ServerResponse, url: URL) => {
+    const serveInstances = (incoming: IncomingMessage, response: ServerResponse, url: URL) => {
         const cutoff = performance.now() - faults.listLagMillis;
         const list = lists.filter(each => each.setAtMillis <= cutoff).at(-1) ?? lists[0]!;
+        if (incoming.headers["if-none-match"] === `"${list.version}"`) {
+            reply(response, 304, "", list.version);
+            return;
+        }
         const view = views[url.searchParams.get("viewer") ?? ""] ?? {};
         const seen = list.instances.map(each => {
             const entry = each as { readonly peerAddress?: string; };
             const address = entry.peerAddress;
             return address === undefined ? entry : { ...entry, peerAddress: view[address] ?? address };
         });
-        reply(response, 200, JSON.stringify(seen));
+        reply(response, 200, JSON.stringify(seen), list.version);
     };
 
     const serve = async (incoming: IncomingMessage, response: ServerResponse) => {
@@ -208,7 +217,7 @@
             await serveObjects(incoming, response, url);
         }
         else {
-            serveInstances(response, url);
+            serveInstances(incoming, response, url);
         }
     };
 
@@ -220,7 +229,11 @@
         port: portOf(server),
         faults,
         setInstances: instances => {
-            lists = [...lists.slice(-200), { setAtMillis: performance.now(), instances }];
+            lists = [...lists.slice(-200), {
+                version: (lists.at(-1)?.version ?? 0) + 1,
+                setAtMillis: performance.now(),
+                instances
+            }];
         },
         setViews: next => views = next,
         record: () => ({
