Other regions are asked only where the wait at home would be refused

Cause: a full instance sent requests 110 ms away although a slot at home was about 24 ms off. Change: far peers come after the question whether a short wait is worthwhile.

--- a/packages/endivebridge-daemon/src/PlaceRequest.ts
+++ b/packages/endivebridge-daemon/src/PlaceRequest.ts
@@ -22,6 +22,9 @@
     | { readonly kind: "slot"; readonly slot: HeldSlot; }
     | { readonly kind: "answered"; readonly answer: Answer; readonly waitedMillis: number; };
 
+/** How far peers may be. */
+type Reach = "region" | "otherRegions";
+
 /** Whether any attempt at a request so far may have run. */
 export interface Doubt {
     mayHaveRun: boolean;
@@ -56,7 +59,7 @@
  * Peers that may have a free slot, nearest first. What they last said is old by up to a heartbeat, so the region's
  * peers that said they were full come too, after the others; a budget bounds the calls in vain.
  */
-export function peersToTry(context: Context, service: string, sourceRegion: string): readonly Peer[] {
+export function peersToTry(context: Context, service: string, sourceRegion: string, reach: Reach): readonly Peer[] {
     const free = (peer: Peer) => freeFor(peer, service, sourceRegion);
     const usable = [...context.peers.values()].filter(peer =>
         !peer.leaving && !peer.failing && (peer.loads.get(service)?.ownedSlots ?? 0) > 0
@@ -65,9 +68,9 @@
         Number(free(right) > 0) - Number(free(left) > 0)
         || distance(context, left) - distance(context, right)
         || free(right) - free(left);
-    const near = usable.filter(peer => distance(context, peer) < 2).sort(order);
-    const far = usable.filter(peer => distance(context, peer) === 2 && free(peer) > 0).sort(order);
-    return [...near.slice(0, regionPeersTried), ...far.slice(0, farPeersTried)];
+    return reach === "region"
+        ? usable.filter(peer => distance(context, peer) < 2).sort(order).slice(0, regionPeersTried)
+        : usable.filter(peer => distance(context, peer) === 2 && free(peer) > 0).sort(order).slice(0, farPeersTried);
 }
 
 function waitForSlot(
@@ -88,9 +91,11 @@
     request: SteeringRequest,
     tried: Set<string>,
     doubt: Doubt,
-    arrivedAtMillis: number
+    arrivedAtMillis: number,
+    reach: Reach
 ) => Effect.gen(function*() {
-    const peers = peersToTry(context, service.service, request.sourceRegion).filter(peer => !tried.has(peer.instance));
+    const peers = peersToTry(context, service.service, request.sourceRegion, reach)
+        .filter(peer => !tried.has(peer.instance));
     for (const peer of peers) {
         tried.add(peer.instance);
         const load = peer.loads.get(service.service);
@@ -151,16 +156,24 @@
             if (request.forwarded) {
                 return yield* refuse("overloaded", "no free slot");
             }
-            const answer = yield* tryPeers(context, service, request, tried, doubt, arrivedAtMillis);
-            if (answer !== undefined) {
-                return { kind: "answered", ...answer };
+            const near = yield* tryPeers(context, service, request, tried, doubt, arrivedAtMillis, "region");
+            if (near !== undefined) {
+                return { kind: "answered", ...near };
+            }
+            // A short wait at home is better than the way to another region and its cold caches.
+            const mayWaitHere = mayUseOwn && (admitted || isWaitWorthwhile(context, service, request));
+            const far = mayWaitHere
+                ? undefined
+                : yield* tryPeers(context, service, request, tried, doubt, arrivedAtMillis, "otherRegions");
+            if (far !== undefined) {
+                return { kind: "answered", ...far };
             }
             if (!mayUseOwn) {
                 yield* waitForInflow(service, request, arrivedAtMillis);
                 tried.clear();
                 continue;
             }
-            const placed = admitted || isWaitWorthwhile(context, service, request)
+            const placed = mayWaitHere
                 ? yield* waitInQueue(service, request, excluded, arrivedAtMillis)
                 : yield* takeLastResort(service, excluded);
             admitted = true;
