Leases grow with the heartbeats of large failure domains; calls to other regions in vain are bounded

Change: a lease is at least four heartbeats between siblings, derived from what they share; one call a second to other regions beyond those that succeed.

--- a/packages/endivebridge-core/src/EndivebridgeLease.ts
+++ b/packages/endivebridge-core/src/EndivebridgeLease.ts
@@ -22,24 +22,24 @@
     readonly isUnreachable: (sibling: string) => boolean;
 }
 
-/** Makes a lease that is not held yet; every time is on this process's monotonic clock. */
-export function makeLease(leaseMillis: number): Lease {
+/** Makes a lease that is not held yet; every time is on this process's monotonic clock, its length may change. */
+export function makeLease(leaseMillis: () => number): Lease {
     const promisedUntilMillis = new Map<string, number>();
     let validUntilMillis = 0;
     const extend = (untilMillis: number) => {
         validUntilMillis = Math.max(validUntilMillis, untilMillis);
     };
     return {
-        confirmByRow: sentAtMillis => extend(sentAtMillis + leaseMillis),
+        confirmByRow: sentAtMillis => extend(sentAtMillis + leaseMillis()),
         confirmBySibling: (sibling, sentAtMillis, promisedMillis) => {
-            const until = sentAtMillis + Math.min(promisedMillis, leaseMillis);
+            const until = sentAtMillis + Math.min(promisedMillis, leaseMillis());
             promisedUntilMillis.set(sibling, Math.max(until, promisedUntilMillis.get(sibling) ?? 0));
         },
         evaluate: evidence => {
             if (evidence.platformFailedSinceMillis === undefined) {
                 return;
             }
-            const isolatedUntilMillis = evidence.platformFailedSinceMillis + leaseMillis;
+            const isolatedUntilMillis = evidence.platformFailedSinceMillis + leaseMillis();
             const untilMillis = evidence.siblings.map(sibling =>
                 evidence.isUnreachable(sibling) ? isolatedUntilMillis : promisedUntilMillis.get(sibling) ?? 0
             );
--- a/packages/endivebridge-core/src/EndivebridgeShare.ts
+++ b/packages/endivebridge-core/src/EndivebridgeShare.ts
@@ -15,7 +15,7 @@
 }
 
 /** Makes a share that waits `riseAfterMillis` before it rises. */
-export function makeCautiousShare(riseAfterMillis: number): CautiousShare {
+export function makeCautiousShare(riseAfterMillis: () => number): CautiousShare {
     let current = 0;
     let started = false;
     let target = 0;
@@ -28,7 +28,7 @@
             }
             // The first share of a process waits too: an earlier incarnation's admissions may be a moment old.
             started = true;
-            if (target < current || nowMillis - targetSinceMillis >= riseAfterMillis) {
+            if (target < current || nowMillis - targetSinceMillis >= riseAfterMillis()) {
                 current = target;
             }
             return current;
--- a/packages/endivebridge-core/src/__tests__/unit/EndivebridgeLease.test.ts
+++ b/packages/endivebridge-core/src/__tests__/unit/EndivebridgeLease.test.ts
@@ -5,7 +5,7 @@
 const alone = { siblings: [] as string[], isUnreachable: () => false };
 
 test("a lease confirmed by the row lapses by itself, as it must for a paused holder", t => {
-    const lease = makeLease(leaseMillis);
+    const lease = makeLease(() => leaseMillis);
     t.false(lease.holds(0));
     lease.confirmByRow(100);
     t.true(lease.holds(1_099));
@@ -13,7 +13,7 @@
 });
 
 test("with the platform down every sibling's promise is needed", t => {
-    const lease = makeLease(leaseMillis);
+    const lease = makeLease(() => leaseMillis);
     lease.confirmBySibling("b", 500, leaseMillis);
     const evidence = {
         nowMillis: 600,
@@ -30,14 +30,14 @@
 });
 
 test("promises carry nothing while the platform answers: the row decides", t => {
-    const lease = makeLease(leaseMillis);
+    const lease = makeLease(() => leaseMillis);
     lease.confirmBySibling("b", 500, leaseMillis);
     lease.evaluate({ ...alone, nowMillis: 600, siblings: ["b"], platformFailedSinceMillis: undefined });
     t.false(lease.holds(600));
 });
 
 test("an instance that reaches neither platform nor siblings goes on, but only from an attempt made after it woke", t => {
-    const lease = makeLease(leaseMillis);
+    const lease = makeLease(() => leaseMillis);
     lease.evaluate({ nowMillis: 5_000, siblings: ["b"], platformFailedSinceMillis: 3_000, isUnreachable: () => true });
     t.false(lease.holds(5_000));
     lease.evaluate({ nowMillis: 5_100, siblings: ["b"], platformFailedSinceMillis: 5_050, isUnreachable: () => true });
@@ -45,7 +45,7 @@
 });
 
 test("a revoked lease forgets promises", t => {
-    const lease = makeLease(leaseMillis);
+    const lease = makeLease(() => leaseMillis);
     lease.confirmBySibling("b", 500, leaseMillis);
     lease.revoke();
     lease.evaluate({ ...alone, nowMillis: 600, siblings: ["b"], platformFailedSinceMillis: 590 });
--- a/packages/endivebridge-core/src/__tests__/unit/EndivebridgePolicies.test.ts
+++ b/packages/endivebridge-core/src/__tests__/unit/EndivebridgePolicies.test.ts
@@ -37,7 +37,7 @@
 });
 
 test("a share falls at once and rises only after the wait", t => {
-    const share = makeCautiousShare(1_000);
+    const share = makeCautiousShare(() => 1_000);
     t.is(share.update(10, 0), 0);
     t.is(share.update(10, 999), 0);
     t.is(share.update(10, 1_000), 10);
--- a/packages/endivebridge-daemon/src/Context.ts
+++ b/packages/endivebridge-daemon/src/Context.ts
@@ -67,6 +67,8 @@
     readonly suspects: Semaphore.Semaphore;
     /** Calls to peers that said they were full. */
     readonly tries: TryBudget;
+    /** Calls to peers of other regions. */
+    readonly farTries: TryBudget;
     /** Decayed mean size of answers in bytes. */
     readonly answerBytes: { mean: number; };
     /** Times of whole answers of own servers. */
--- a/packages/endivebridge-daemon/src/Daemon.ts
+++ b/packages/endivebridge-daemon/src/Daemon.ts
@@ -23,6 +23,7 @@
 import type { AssignmentSeen, ConfigurationInForce, Context, InstancesSeen, ServiceState } from "./Context";
 import { instanceListTask } from "./InstanceListTask";
 import { closeJournal, journalTask } from "./JournalTask";
+import { leaseMillis } from "./LeaseTime";
 import { makeLinkUse } from "./Links";
 import { loadReportTask } from "./LoadReportTask";
 import { makeLog } from "./Log";
@@ -47,6 +48,8 @@
 const windowMillis = 1_000;
 const triesPerSecond = 40;
 const mostTries = 20;
+const farTriesPerSecond = 1;
+const mostFarTries = 10;
 
 /** A running entry instance. */
 export interface Daemon {
@@ -63,7 +66,7 @@
 function makeContext(settings: InstanceSettings): Context {
     const nowMillis = monotonicMillis;
     const log = makeLog("endivebridged", settings.instance, settings.logLevel);
-    return {
+    const context: Context = {
         settings,
         incarnation: randomBytes(6).toString("hex"),
         log,
@@ -85,7 +88,7 @@
         }),
         poison: makePoisonList(),
         linkUse: makeLinkUse(),
-        lease: makeLease(settings.timing.leaseMillis),
+        lease: makeLease(() => leaseMillis(context)),
         configuration: makeState<ConfigurationInForce | undefined>(undefined),
         instances: makeState<InstancesSeen>({ entries: seedEntries(settings), servers: [], readAtMillis: 0 }),
         assignment: makeState<AssignmentSeen | undefined>(undefined),
@@ -96,6 +99,7 @@
         shutdown: makeState(false),
         fork: effect => Effect.runFork(effect, { scheduler: soonScheduler })
     };
+    return context;
 }
 
 function makeService(context: Context, service: string): ServiceState {
@@ -117,10 +121,11 @@
         inflowWaiting: { count: 0 },
         inflowShare: {
             current: 0,
-            cautious: makeCautiousShare(context.settings.timing.leaseMillis + windowMillis)
+            cautious: makeCautiousShare(() => leaseMillis(context) + windowMillis)
         },
         suspects: Semaphore.makeUnsafe(1),
         tries: makeTryBudget(triesPerSecond, mostTries),
+        farTries: makeTryBudget(farTriesPerSecond, mostFarTries),
         answerBytes: { mean: 0 },
         answerTimes: makeLearnedQuantile()
     };
--- a/packages/endivebridge-daemon/src/Heartbeat.ts
+++ b/packages/endivebridge-daemon/src/Heartbeat.ts
@@ -9,6 +9,7 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import type { Context, ServiceState } from "./Context";
 import { freeInflow } from "./Inflow";
+import { leaseMillis } from "./LeaseTime";
 import type { Peer } from "./Peer";
 import { ownServiceMillis } from "./ServiceTimes";
 
@@ -98,7 +99,7 @@
         return 0;
     }
     peer.promisedAtMillis = monotonicMillis();
-    return context.settings.timing.leaseMillis;
+    return Math.round(leaseMillis(context));
 }
 
 /** Answers a peer's heartbeat. */
--- a/packages/endivebridge-daemon/src/OwnershipTask.ts
+++ b/packages/endivebridge-daemon/src/OwnershipTask.ts
@@ -21,6 +21,7 @@
 import type { AssignmentSeen, Context } from "./Context";
 import { updateInflowShares } from "./Inflow";
 import { keepGoing } from "./KeepGoing";
+import { leaseMillis } from "./LeaseTime";
 
 const expelMargin = 1.1;
 const unsettledFactor = 4;
@@ -121,13 +122,12 @@
 
 function judgeSiblings(context: Context, ownership: Ownership, row: AssignmentRow): AssignmentRow {
     const nowMillis = monotonicMillis();
-    const { leaseMillis } = context.settings.timing;
     let next = row;
     for (const member of row.members.filter(each => each.instance !== context.settings.instance)) {
         const silence = silenceMillis(context, ownership, member.instance, nowMillis);
         if (member.suspectedBy === undefined) {
             ownership.suspectedSinceMillis.delete(member.instance);
-            if (silence > leaseMillis / 2) {
+            if (silence > leaseMillis(context) / 2) {
                 context.log.warn({ member: member.instance, silence }, "sibling suspected");
                 context.timeLine.emit({ kind: "siblingSuspected", sibling: member.instance });
                 next = suspectMember(next, member.instance, context.settings.instance);
@@ -137,7 +137,7 @@
         const since = ownership.suspectedSinceMillis.get(member.instance) ?? nowMillis;
         ownership.suspectedSinceMillis.set(member.instance, since);
         const promisedAtMillis = context.peers.get(member.instance)?.promisedAtMillis ?? 0;
-        const waitMillis = leaseMillis * expelMargin;
+        const waitMillis = leaseMillis(context) * expelMargin;
         if (nowMillis - since > waitMillis && nowMillis - promisedAtMillis > waitMillis) {
             context.log.warn({ member: member.instance }, "sibling expelled, its slots are free");
             context.timeLine.emit({ kind: "siblingExpelled", sibling: member.instance });
--- a/packages/endivebridge-daemon/src/PeerTask.ts
+++ b/packages/endivebridge-daemon/src/PeerTask.ts
@@ -5,24 +5,11 @@
 import { applyConfiguration } from "./ConfigurationTask";
 import type { Context } from "./Context";
 import { makeHeartbeat, notePeer } from "./Heartbeat";
+import { heartbeatIntervalMillis } from "./HeartbeatInterval";
+import { leaseMillis } from "./LeaseTime";
 import { lookupHash } from "./LookupHash";
 import { makePeer, type Peer } from "./Peer";
 
-const farPeerFactor = 4;
-const heartbeatsPerSecond = 5;
-
-/** Time in milliseconds between heartbeats to a peer: siblings most often, all slower where there are many. */
-export function heartbeatIntervalMillis(
-    baseMillis: number,
-    siblings: number,
-    others: number,
-    isSibling: boolean
-): number {
-    const wantedPerSecond = (siblings + others / farPeerFactor) * (1_000 / baseMillis);
-    const stretch = Math.max(1, wantedPerSecond / heartbeatsPerSecond);
-    return baseMillis * stretch * (isSibling ? 1 : farPeerFactor);
-}
-
 function intervalTo(context: Context, peer: Peer): number {
     const peers = [...context.peers.values()];
     const siblings = peers.filter(each => each.failureDomain === context.settings.failureDomain).length;
@@ -43,7 +30,7 @@
 const beatOnce = (context: Context, peer: Peer) =>
     Effect.gen(function*() {
         const sentAtMillis = monotonicMillis();
-        const timeoutMs = Math.max(250, Math.min(2_000, context.settings.timing.leaseMillis / 2));
+        const timeoutMs = Math.max(250, Math.min(2_000, leaseMillis(context) / 2));
         const answer = yield* Effect.tryPromise(signal =>
             peer.client.heartbeat(makeHeartbeat(context), { signal, timeoutMs })
         );
--- a/packages/endivebridge-daemon/src/PlaceRequest.ts
+++ b/packages/endivebridge-daemon/src/PlaceRequest.ts
@@ -100,7 +100,9 @@
         tried.add(peer.instance);
         const load = peer.loads.get(service.service);
         const saidFree = load !== undefined && freeFor(peer, service.service, request.sourceRegion) > 0;
-        if (!saidFree && !service.tries.trySpend(monotonicMillis())) {
+        // What a near peer said is young and asking costs little; a far one's answer in vain keeps a refusal waiting.
+        const budget = reach === "otherRegions" ? service.farTries : saidFree ? undefined : service.tries;
+        if (budget !== undefined && !budget.trySpend(monotonicMillis())) {
             continue;
         }
         if (!mayCross(context, service, peer, request)) {
@@ -113,9 +115,7 @@
         const sentAtMillis = monotonicMillis();
         const result = yield* Effect.result(forwardRequest(peer, request));
         if (Result.isSuccess(result)) {
-            if (!saidFree) {
-                service.tries.refund();
-            }
+            budget?.refund();
             return { answer: result.success, waitedMillis: sentAtMillis - arrivedAtMillis };
         }
         doubt.mayHaveRun ||= result.failure.ran !== "no";
