Two failed servers of one request: the doubt of either stays

Cause: read while cleaning up: the first server refusing unrun while the second was cut gave not run. Change: the failure after which the request may have run is told.

--- a/packages/endivebridge-daemon/src/RunRequest.ts
+++ b/packages/endivebridge-daemon/src/RunRequest.ts
@@ -103,6 +103,11 @@
     return slot;
 }
 
+/** Of two failures the one after which the request may have run. */
+function moreDoubtful(first: DispatchResult, second: DispatchResult): DispatchResult {
+    return Result.isFailure(first) && first.failure.ran === "no" ? second : first;
+}
+
 /** Runs an idempotent request on one server and, where that is slow, on a second; the loser is cancelled. */
 function dispatchHedged(
     context: Context,
@@ -143,7 +148,7 @@
                     resume(Effect.succeed(result));
                 }
                 else if (firstFailure !== undefined) {
-                    resume(Effect.succeed(firstFailure));
+                    resume(Effect.succeed(moreDoubtful(firstFailure, result)));
                 }
             });
         };
