--- a/packages/endivebridge-daemon/src/JournalTask.ts
+++ b/packages/endivebridge-daemon/src/JournalTask.ts
@@ -52,7 +52,7 @@
 
 /** Time between batches: all instances together stay well within the table's writes a second. */
 function intervalMillis(context: Context): number {
-    return Math.max(shortestIntervalMillis, (context.peers.size + 1) * intervalMillisPerInstance);
+    return Math.max(shortestIntervalMillis, context.instances.read().entries.length * intervalMillisPerInstance);
 }
 
 /** Writes ended operations to the table, late and in batches, until interrupted. */
