Slots move at once when a sibling is replaced

Change: a sibling's new incarnation makes turns short for 3 s; an instance that stops lingers 0.3 s instead of 1 s.

--- a/packages/endivebridge-daemon/src/Context.ts
+++ b/packages/endivebridge-daemon/src/Context.ts
@@ -99,6 +99,8 @@
     readonly reports: Map<string, LoadReport>;
     readonly clientBlocks: { current: ClientBlocks; };
     readonly shutdown: State<boolean>;
+    /** Monotonic time at which a sibling last came or changed its incarnation: slots will have to move. */
+    readonly siblingsChangedAtMillis: { current: number; };
     /** Starts a task that outlives the connection it was started for. */
     readonly fork: <Value, Failure>(effect: Effect.Effect<Value, Failure>) => Fiber.Fiber<Value, Failure>;
 }
--- a/packages/endivebridge-daemon/src/Daemon.ts
+++ b/packages/endivebridge-daemon/src/Daemon.ts
@@ -43,7 +43,7 @@
 });
 
 const journalCapacity = 200_000;
-const lingerMillis = 1_000;
+const lingerMillis = 300;
 const lookAgainMillis = 25;
 const windowMillis = 1_000;
 const triesPerSecond = 40;
@@ -97,6 +97,7 @@
         reports: new Map(),
         clientBlocks: { current: makeClientBlocks() },
         shutdown: makeState(false),
+        siblingsChangedAtMillis: { current: 0 },
         fork: effect => Effect.runFork(effect, { scheduler: soonScheduler })
     };
     return context;
--- a/packages/endivebridge-daemon/src/Heartbeat.ts
+++ b/packages/endivebridge-daemon/src/Heartbeat.ts
@@ -68,6 +68,9 @@
     }
     if (peer.incarnation !== said.incarnation) {
         context.timeLine.emit({ kind: "peerHeard", peer: peer.instance, incarnation: said.incarnation });
+        if (peer.failureDomain === context.settings.failureDomain) {
+            context.siblingsChangedAtMillis.current = monotonicMillis();
+        }
     }
     peer.incarnation = said.incarnation;
     peer.configurationVersion = said.configurationVersion;
--- a/packages/endivebridge-daemon/src/OwnershipTask.ts
+++ b/packages/endivebridge-daemon/src/OwnershipTask.ts
@@ -25,6 +25,7 @@
 
 const expelMargin = 1.1;
 const unsettledFactor = 4;
+const movingMillis = 3_000;
 
 /** What the ownership task remembers between its turns. */
 interface Ownership {
@@ -237,6 +238,19 @@
     });
 }
 
+/** Pauses between turns; while slots have to move the pauses are short. */
+const pauseBetweenTurns = (context: Context, ownership: Ownership): Effect.Effect<void> =>
+    Effect.gen(function*() {
+        const wholeMillis = context.settings.timing.assignmentMillis * (0.9 + Math.random() * 0.2);
+        for (let part = 0; part < unsettledFactor; part += 1) {
+            yield* Effect.sleep(wholeMillis / unsettledFactor);
+            const sinceChangeMillis = monotonicMillis() - context.siblingsChangedAtMillis.current;
+            if (!ownership.settled || sinceChangeMillis < movingMillis) {
+                return;
+            }
+        }
+    });
+
 /** Keeps this instance's share of its failure domain's slots until interrupted. */
 export const ownershipTask = (context: Context): Effect.Effect<never> =>
     Effect.gen(function*() {
@@ -255,8 +269,7 @@
             }
             applyAssignment(context, ownership);
             noteLease(context, ownership);
-            const pauseMillis = context.settings.timing.assignmentMillis / (ownership.settled ? 1 : unsettledFactor);
-            yield* Effect.sleep(pauseMillis * (0.9 + Math.random() * 0.2));
+            yield* pauseBetweenTurns(context, ownership);
         }
     });
 
