A retry may go back to the only server; calls of peers are answered before an instance ends

Change: late is at least 25 ms; after a silent connection the same server will do, and no server is excluded where all would be; open calls of peers hold a shutdown up.

--- a/packages/endivebridge-bench/src/scenarios/Lookups.ts
+++ b/packages/endivebridge-bench/src/scenarios/Lookups.ts
@@ -137,7 +137,7 @@
             range(siteCount).forEach(site =>
                 configuration.regions[`site-${site}`] = { failureDomains: [`domain-${site}`] }
             );
-            configuration.clientBlocks.push(...blocks);
+            configuration.clientBlocks = [...configuration.clientBlocks, ...blocks];
         }
     }, async world => {
         await wait(1_000);
--- a/packages/endivebridge-daemon/src/CallerServer.ts
+++ b/packages/endivebridge-daemon/src/CallerServer.ts
@@ -22,8 +22,6 @@
     readonly server: Server;
     /** Exchanges that are not finished. */
     readonly open: () => number;
-    /** Ends connections as they become idle; none is cut. */
-    readonly drain: () => void;
     readonly close: () => void;
 }
 
@@ -160,7 +158,6 @@
             resolve({
                 server,
                 open: () => open,
-                drain: () => server.closeIdleConnections(),
                 close: () => {
                     server.close();
                     server.closeIdleConnections();
--- a/packages/endivebridge-daemon/src/Daemon.ts
+++ b/packages/endivebridge-daemon/src/Daemon.ts
@@ -43,7 +43,8 @@
 });
 
 const journalCapacity = 200_000;
-const lingerMillis = 300;
+const lingerMillis = 1_000;
+const lastBytesMillis = 100;
 const lookAgainMillis = 25;
 const windowMillis = 1_000;
 const triesPerSecond = 40;
@@ -165,9 +166,8 @@
     };
 }
 
-async function finishExchanges(isOpen: () => boolean, drain: () => void, untilMillis: number): Promise<void> {
+async function finishExchanges(isOpen: () => boolean, untilMillis: number): Promise<void> {
     while (isOpen() && monotonicMillis() < untilMillis) {
-        drain();
         await new Promise(resolve => setTimeout(resolve, 20));
     }
 }
@@ -200,15 +200,17 @@
         context.log.info("shutting down");
         context.shutdown.update(() => true);
         context.timeLine.emit({ kind: "shuttingDown" });
-        const stillOpen = () => callerServer.open() > 0 || inFlight(context) > 0;
-        await finishExchanges(stillOpen, () => undefined, untilMillis);
+        const stillOpen = () => callerServer.open() > 0 || peerServer.open() > 0 || inFlight(context) > 0;
+        await finishExchanges(stillOpen, untilMillis);
         const closed = await Effect.runPromise(closeJournal(context));
         await Effect.runPromise(Effect.ignore(leaveOwnership(context)));
         // Connections opened before may still carry requests: each is told to go elsewhere.
         await new Promise(resolve => setTimeout(resolve, lingerMillis));
-        await finishExchanges(() => callerServer.open() > 0, () => undefined, untilMillis);
+        await finishExchanges(() => callerServer.open() > 0 || peerServer.open() > 0, untilMillis);
         callerServer.close();
         teardown();
+        // Answers handed to a peer's connection last may still be on their way out.
+        await new Promise(resolve => setTimeout(resolve, lastBytesMillis));
         callerServer.server.closeAllConnections();
         context.log.info({ closed }, "stopped");
     };
--- a/packages/endivebridge-daemon/src/PeerServer.ts
+++ b/packages/endivebridge-daemon/src/PeerServer.ts
@@ -71,6 +71,9 @@
 }
 
 function serveForward(context: Context, message: ForwardRequest, signal: AbortSignal): Promise<ForwardResponse> {
+    if (context.shutdown.read()) {
+        return encodeAnswer(Result.fail(steeringError("shuttingDown")), undefined);
+    }
     const request = decodeRequest(context, message, true);
     const service = context.services.get(request.service);
     const effect = service === undefined
@@ -99,16 +102,28 @@
     };
 }
 
-function routes(context: Context): (router: ConnectRouter) => void {
+/** Counts calls that are not answered yet. */
+interface OpenCalls {
+    count: number;
+}
+
+function counted<Value>(open: OpenCalls, call: Promise<Value>): Promise<Value> {
+    open.count += 1;
+    return call.finally(() => {
+        open.count -= 1;
+    });
+}
+
+function routes(context: Context, open: OpenCalls): (router: ConnectRouter) => void {
     return router => {
         router.service(PeerService, {
             heartbeat: request => answerHeartbeat(context, request),
-            forward: (request, call) => serveForward(context, request, call.signal),
+            forward: (request, call) => counted(open, serveForward(context, request, call.signal)),
             runOperation: message => {
                 if (message.request === undefined) {
                     throw new ConnectError("request missing", Code.InvalidArgument);
                 }
-                return serveOperation(context, message.request);
+                return counted(open, serveOperation(context, message.request));
             },
             describe: request => ({
                 instance: JSON.stringify(describeInstance(context)),
@@ -127,13 +142,16 @@
 /** A listening peer server. */
 export interface PeerServer {
     readonly server: Http2Server;
+    /** Calls of peers that are not answered yet. */
+    readonly open: () => number;
     readonly close: () => void;
 }
 
 /** Listens for other entry instances. */
 export function openPeerServer(context: Context): Promise<PeerServer> {
+    const open: OpenCalls = { count: 0 };
     const handler = connectNodeAdapter({
-        routes: routes(context),
+        routes: routes(context, open),
         interceptors: [keyInterceptor(context.settings.keys.peer)],
         readMaxBytes: 4 * 1_048_576
     });
@@ -150,6 +168,7 @@
         server.listen(port, host, () =>
             resolve({
                 server,
+                open: () => open.count,
                 close: () => {
                     server.close();
                     sessions.forEach(session => session.close());
--- a/packages/endivebridge-daemon/src/RunRequest.ts
+++ b/packages/endivebridge-daemon/src/RunRequest.ts
@@ -191,6 +191,16 @@
     });
 }
 
+/** A retry goes to another server where there is one; after a silent connection the same server will do. */
+function excludeFailed(service: ServiceState, excluded: Set<string>, failure: DispatchFailure): void {
+    if (failure.reason !== "silent") {
+        excluded.add(failure.server);
+    }
+    if (service.pool.servers().every(owned => excluded.has(owned.server))) {
+        excluded.clear();
+    }
+}
+
 function mayRetry(service: ServiceState, request: SteeringRequest, failure: DispatchFailure): boolean {
     if (failure.reason === "silent") {
         return true;
@@ -263,7 +273,7 @@
                 return yield* withDoubt(doubt, Effect.fail(steeringError(failure.kind, detail)));
             }
             context.metrics.count("retries", { service: service.service });
-            excluded.add(failure.server);
+            excludeFailed(service, excluded, failure);
         }
     });
 }
--- a/packages/endivebridge-daemon/src/ServiceTimes.ts
+++ b/packages/endivebridge-daemon/src/ServiceTimes.ts
@@ -4,6 +4,8 @@
 const serviceMillisBeforeSamples = 20;
 const hedgeQuantile = 0.95;
 const shortestHedgeMillis = 5;
+// Below this a pause of the process itself looks like a late answer.
+const shortestLateMillis = 25;
 
 /** Median service time of the servers that this instance owns slots of. */
 export function ownServiceMillis(service: ServiceState): number | undefined {
@@ -25,7 +27,7 @@
 
 /** Time after which an answer counts as late. */
 export function lateAfterMillis(context: Context, service: ServiceState): number {
-    return usualServiceMillis(context, service) * lateFactor;
+    return Math.max(shortestLateMillis, usualServiceMillis(context, service) * lateFactor);
 }
 
 /** Time after which a second server is tried; undefined before enough answers came. */
