Other regions are asked only where they said that a fifth of their slots was idle

Change: more than a fifth idle; two such calls at once, one each two seconds beyond those that succeed.

--- a/packages/endivebridge-daemon/src/Daemon.ts
+++ b/packages/endivebridge-daemon/src/Daemon.ts
@@ -49,8 +49,8 @@
 const windowMillis = 1_000;
 const triesPerSecond = 40;
 const mostTries = 20;
-const farTriesPerSecond = 1;
-const mostFarTries = 10;
+const farTriesPerSecond = 0.5;
+const mostFarTries = 2;
 
 /** A running entry instance. */
 export interface Daemon {
--- a/packages/endivebridge-daemon/src/PlaceRequest.ts
+++ b/packages/endivebridge-daemon/src/PlaceRequest.ts
@@ -32,6 +32,7 @@
 
 const regionPeersTried = 3;
 const farPeersTried = 1;
+const idleShare = 0.2;
 const inflowPollMillis = 20;
 const longestInflowWaitMillis = 1_000;
 
@@ -64,13 +65,16 @@
     const usable = [...context.peers.values()].filter(peer =>
         !peer.leaving && !peer.failing && (peer.loads.get(service)?.ownedSlots ?? 0) > 0
     );
+    // What a far peer said is the oldest: one slot that was free then is none now.
+    const isFarAndIdle = (peer: Peer) =>
+        distance(context, peer) === 2 && free(peer) > idleShare * (peer.loads.get(service)?.ownedSlots ?? 0);
     const order = (left: Peer, right: Peer) =>
         Number(free(right) > 0) - Number(free(left) > 0)
         || distance(context, left) - distance(context, right)
         || free(right) - free(left);
     return reach === "region"
         ? usable.filter(peer => distance(context, peer) < 2).sort(order).slice(0, regionPeersTried)
-        : usable.filter(peer => distance(context, peer) === 2 && free(peer) > 0).sort(order).slice(0, farPeersTried);
+        : usable.filter(isFarAndIdle).sort(order).slice(0, farPeersTried);
 }
 
 function waitForSlot(
