--- a/packages/endivebridge-standins/src/Proxy.ts
+++ b/packages/endivebridge-standins/src/Proxy.ts
@@ -50,6 +50,7 @@
 }
 
 const mostQueuedBytes = 1_048_576;
+const cutDelayMillis = 20;
 
 /** Makes a rate that links share. */
 export function makeSharedRate(megabitsPerSecond: number): SharedRate {
@@ -95,11 +96,12 @@
 }
 
 /** Sends what one socket reads to the other, late by the direction's delay and rate, in order. */
-function shape(from: Socket, to: Socket, direction: Direction, mayPass: (bytes: number) => boolean): void {
+function shape(from: Socket, to: Socket, direction: Direction, passableBytes: (bytes: number) => number): void {
     const later = makeOrderedTimer();
     let queuedBytes = 0;
-    from.on("data", chunk => {
-        if (!mayPass(chunk.length)) {
+    from.on("data", data => {
+        const chunk = data.subarray(0, passableBytes(data.length));
+        if (chunk.length === 0) {
             return;
         }
         queuedBytes += chunk.length;
@@ -137,15 +139,26 @@
         return !pair.silent;
     };
     let passedBytes = 0;
-    const passesBack = (pair: Pair, bytes: number) => {
-        pair.answerBytes += bytes;
-        passedBytes += bytes;
-        if (link.truncateAfterBytes !== undefined && pair.answerBytes > link.truncateAfterBytes) {
+    const cutLater = (pair: Pair) =>
+        setTimeout(() => {
             pair.near.destroy();
             pair.far.destroy();
-            return false;
+        }, options.backward.delayMillis + cutDelayMillis);
+    /** An answer that passes the limit gets through up to it, then its connection is cut. */
+    const passesBack = (pair: Pair, bytes: number): number => {
+        const before = pair.answerBytes;
+        pair.answerBytes += bytes;
+        passedBytes += bytes;
+        if (!passes(pair)) {
+            return 0;
+        }
+        const limit = link.truncateAfterBytes;
+        if (limit === undefined || pair.answerBytes <= limit) {
+            return bytes;
         }
-        return passes(pair);
+        pair.silent = true;
+        cutLater(pair);
+        return Math.max(0, limit - before);
     };
     server.on("connection", near => {
         const far = connect({
@@ -159,7 +172,7 @@
         pairs.add(pair);
         shape(near, far, options.forward, bytes => {
             passedBytes += bytes;
-            return passes(pair);
+            return passes(pair) ? bytes : 0;
         });
         shape(far, near, options.backward, bytes => passesBack(pair, bytes));
         const forget = () => {
