--- a/packages/endivebridge-daemon/src/Metrics.ts
+++ b/packages/endivebridge-daemon/src/Metrics.ts
@@ -12,10 +12,6 @@
     | "answer_millis"
     | "queue_wait_millis"
     | "owned_slots"
-    | "in_flight"
-    | "waiting"
-    | "set_aside_servers"
-    | "control_bytes"
     | "journal_entries"
     | "configuration_version";
 
