One deployment for both cost scenarios; a lease accessor that nobody read is gone

Cause: the last reading of the whole change: Overhead and Lookups each wrote the same one-server deployment, and Lease.validUntilMillis had no reader. Change: echoDeployment serves both. Behaviour stays.

--- a/packages/endivebridge-bench/src/Deployment.ts
+++ b/packages/endivebridge-bench/src/Deployment.ts
@@ -55,6 +55,21 @@
     ]
 };
 
+/** One region with one instance and one server, for costs without distance. */
+export function echoDeployment(slots: number): Deployment {
+    return {
+        name: "echo",
+        regions: ["local"],
+        domainsPerRegion: 1,
+        instancesPerDomain: 1,
+        domainDelayMillis: 0,
+        regionDelayMillis: 0,
+        clientDelayMillis: 0,
+        regionMegabitsPerSecond: 10_000,
+        services: [{ service: "echo", servers: 1, slots, readPath: "/echo", writePath: "/write", writeShare: 0 }]
+    };
+}
+
 /** Finds a deployment by name. */
 export function deploymentNamed(name: string): Deployment | undefined {
     return [stacklight, gedeon].find(deployment => deployment.name === name);
--- a/packages/endivebridge-bench/src/scenarios/Lookups.ts
+++ b/packages/endivebridge-bench/src/scenarios/Lookups.ts
@@ -3,7 +3,7 @@
 import { Effect } from "effect";
 import { Agent } from "node:http";
 import xxhash from "xxhash-wasm";
-import type { Deployment } from "../Deployment";
+import { echoDeployment } from "../Deployment";
 import { makeRandom } from "../Random";
 import { atLeast, atMost, type Scenario } from "../ScenarioReport";
 import type { World } from "../World";
@@ -12,21 +12,10 @@
 const blockCount = 310_000;
 const siteCount = 180;
 const connections = 32;
+const slots = 4;
 const decisions = 500_000;
 const bytesPerMegabyte = 1_048_576;
 
-const oneInstance: Deployment = {
-    name: "lookups",
-    regions: ["local"],
-    domainsPerRegion: 1,
-    instancesPerDomain: 1,
-    domainDelayMillis: 0,
-    regionDelayMillis: 0,
-    clientDelayMillis: 0,
-    regionMegabitsPerSecond: 10_000,
-    services: [{ service: "echo", servers: 1, slots: 4, readPath: "/echo", writePath: "/write", writeShare: 0 }]
-};
-
 /** Blocks of /20 to /24 over most of the address space, each of one of the sites. */
 function makeBlocks(random: () => number): readonly ClientBlock[] {
     const found = new Map<string, ClientBlock>();
@@ -130,7 +119,7 @@
     const blocks = makeBlocks(random);
     const inProcess = await measureInProcess(blocks, random);
     return withWorld({
-        deployment: oneInstance,
+        deployment: echoDeployment(slots),
         seed: options.seed,
         serviceMillis: 10,
         configure: configuration => {
--- a/packages/endivebridge-bench/src/scenarios/Overhead.ts
+++ b/packages/endivebridge-bench/src/scenarios/Overhead.ts
@@ -3,7 +3,7 @@
 import { build } from "hdr-histogram-js";
 import { type ChildProcess, fork } from "node:child_process";
 import { Agent } from "node:http";
-import type { Deployment } from "../Deployment";
+import { echoDeployment } from "../Deployment";
 import { programPath } from "../Programs";
 import { atLeast, atMost, type PolicyResult, type Scenario } from "../ScenarioReport";
 import { startWorld, type World } from "../World";
@@ -13,18 +13,6 @@
 const slots = 64;
 const warmUpShare = 0.8;
 
-const oneOfEach: Deployment = {
-    name: "overhead",
-    regions: ["local"],
-    domainsPerRegion: 1,
-    instancesPerDomain: 1,
-    domainDelayMillis: 0,
-    regionDelayMillis: 0,
-    clientDelayMillis: 0,
-    regionMegabitsPerSecond: 10_000,
-    services: [{ service: "echo", servers: 1, slots, readPath: "/echo", writePath: "/write", writeShare: 0 }]
-};
-
 interface Way {
     readonly policy: string;
     readonly url: string;
@@ -124,7 +112,7 @@
 
 /** The same load direct, through a plain pass-through and through `endivebridged`. */
 export const overhead: Scenario = async options => {
-    const world = await startWorld({ deployment: oneOfEach, seed: options.seed, serviceMillis });
+    const world = await startWorld({ deployment: echoDeployment(slots), seed: options.seed, serviceMillis });
     const target = `127.0.0.1:${world.backends[0]!.standIn.port}`;
     const passThrough = fork(programPath("endivebench"), ["pass-through-process", target]);
     try {
--- a/packages/endivebridge-core/src/EndivebridgeLease.ts
+++ b/packages/endivebridge-core/src/EndivebridgeLease.ts
@@ -7,7 +7,6 @@
     /** Extends the lease from siblings' promises, or from isolation where neither row nor sibling can be reached. */
     readonly evaluate: (evidence: LeaseEvidence) => void;
     readonly holds: (nowMillis: number) => boolean;
-    readonly validUntilMillis: () => number;
     readonly revoke: () => void;
 }
 
@@ -46,7 +45,6 @@
             extend(Math.min(isolatedUntilMillis, ...untilMillis));
         },
         holds: nowMillis => nowMillis < validUntilMillis,
-        validUntilMillis: () => validUntilMillis,
         revoke: () => {
             validUntilMillis = 0;
             promisedUntilMillis.clear();
