--- /dev/null
+++ b/packages/endivebridge-gateway/src/CallerRequest.ts
@@ -0,0 +1,107 @@
+import { hashText, type Route } from "@endivebridge/traffic";
+import { createHash } from "node:crypto";
+import type { IncomingMessage } from "node:http";
+import type { Dialect } from "./Dialect";
+
+/** A request as its caller sent it, read whole. */
+export interface CallerRequest {
+    readonly id: string | undefined;
+    readonly method: string;
+    readonly host: string;
+    /** Path with query, unchanged. */
+    readonly target: string;
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string | string[]>>;
+    readonly body: Buffer;
+    /** How long the caller will wait, counted from when the request was read. */
+    readonly patienceMillis: number | undefined;
+    /** Object that the request concerns, where the caller names one. */
+    readonly affinityKey: string | undefined;
+}
+
+/** Headers that concern one connection only (RFC 9110, section 7.6.1) or that the client library writes itself. */
+const connectionHeaders = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "expect"
+]);
+
+/** End-to-end headers of a message, names and values by turns, in their own spelling and order. */
+export function endToEndHeaders(
+    rawHeaders: readonly string[],
+    connection: string | undefined
+): readonly (readonly [name: string, value: string])[] {
+    const named = (connection ?? "").toLowerCase().split(",").map(name => name.trim());
+    const kept: [string, string][] = [];
+    for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+        const name = rawHeaders[index]!;
+        const lower = name.toLowerCase();
+        if (!connectionHeaders.has(lower) && !named.includes(lower)) {
+            kept.push([name, rawHeaders[index + 1]!]);
+        }
+    }
+    return kept;
+}
+
+function groupHeaders(pairs: readonly (readonly [string, string])[]): Record<string, string | string[]> {
+    const grouped: Record<string, string | string[]> = {};
+    for (const [name, value] of pairs) {
+        const known = grouped[name];
+        grouped[name] = known === undefined ? value : [...typeof known === "string" ? [known] : known, value];
+    }
+    return grouped;
+}
+
+function cookieValue(header: string | undefined, cookie: string): string | undefined {
+    for (const part of (header ?? "").split(";")) {
+        const separator = part.indexOf("=");
+        if (separator > 0 && part.slice(0, separator).trim().toLowerCase() === cookie) {
+            return part.slice(separator + 1).trim();
+        }
+    }
+    return undefined;
+}
+
+/** Makes the request of a message whose body was read. */
+export function makeCallerRequest(dialect: Dialect, message: IncomingMessage, body: Buffer): CallerRequest {
+    const target = message.url ?? "/";
+    const pairs = endToEndHeaders(message.rawHeaders, message.headers.connection);
+    const patience = Number(message.headers[dialect.deadlineHeader]);
+    const id = message.headers[dialect.requestIdHeader];
+    return {
+        id: typeof id === "string" ? id : undefined,
+        method: message.method ?? "GET",
+        host: message.headers.host ?? "",
+        target,
+        path: target.split("?", 1)[0]!,
+        headers: groupHeaders(pairs.filter(([name]) => name.toLowerCase() !== dialect.deadlineHeader)),
+        body,
+        patienceMillis: message.headers[dialect.deadlineHeader] !== undefined && Number.isFinite(patience)
+            ? Math.max(0, patience)
+            : undefined,
+        affinityKey: cookieValue(message.headers.cookie, dialect.affinityCookie)
+    };
+}
+
+/** Tells requests apart that would run the same work, whoever sends them. */
+export function requestFingerprint(request: CallerRequest): string {
+    return createHash("sha1")
+        .update(`${request.method} ${request.host}${request.target} ${request.affinityKey ?? ""}\n`)
+        .update(request.body)
+        .digest("base64url");
+}
+
+/** Hash of the object that a request concerns, if it names one. */
+export function affinityHash(request: CallerRequest, route: Route): number | undefined {
+    return route.hasAffinity && request.affinityKey !== undefined
+        ? hashText(`${route.name}/${request.affinityKey}`)
+        : undefined;
+}
--- /dev/null
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -0,0 +1,236 @@
+import { monotonicMillis } from "@endivebridge/shared";
+import type { RouteTable, SplitChoice, TrafficConfiguration } from "@endivebridge/traffic";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type CallerRequest, endToEndHeaders, makeCallerRequest } from "./CallerRequest";
+import type { Dialect } from "./Dialect";
+import type { EventLog } from "./EventLog";
+import type { ServerAnswer } from "./Exchange";
+import { type FinalAnswerKind, finalAnswers } from "./FinalAnswers";
+import type { GatewayMetrics } from "./GatewayMetrics";
+import type { RequestResult, RoutedRequest, RunningRequest } from "./RunRequest";
+
+/** A configuration with its index. */
+export interface ConfigurationInForce {
+    readonly configuration: TrafficConfiguration;
+    readonly routes: RouteTable;
+    readonly takenMillis: number;
+}
+
+/** What the server for callers needs. */
+export interface CallerServerParts {
+    readonly dialect: Dialect;
+    readonly configuration: () => ConfigurationInForce | undefined;
+    readonly splitChoice: SplitChoice;
+    readonly run: (routed: RoutedRequest) => RunningRequest;
+    /** Whether the instance is shutting down, so that callers should open their next connection elsewhere. */
+    readonly isLeaving: () => boolean;
+    /** Whether a new request can no longer be finished before the process ends. */
+    readonly isClosed: () => boolean;
+    readonly log: EventLog;
+    readonly metrics: GatewayMetrics;
+}
+
+/** The server for callers. */
+export interface CallerServer {
+    readonly server: Server;
+    readonly openRequests: () => number;
+}
+
+/** Request bodies held in memory by all requests together; beyond it requests are refused. */
+const heldBodiesBytes = 67_108_864;
+/** Idle connections are kept a little longer than declared, so that no close crosses a request sent in time. */
+const idleSlackMillis = 1_000;
+const initialIdleMillis = 60_000;
+/** Callers may be refused for a configuration that is not there yet; it is usually there within this time. */
+const notReadyRetryMillis = 300;
+
+/** Makes the server for callers; it does not listen yet. */
+export function makeCallerServer(parts: CallerServerParts): CallerServer {
+    let openRequests = 0;
+    let heldBytes = 0;
+
+    const readBody = (message: IncomingMessage, limitBytes: number): Promise<Buffer | "too large" | "gone" | "full"> => {
+        if (message.headers["content-length"] === undefined && message.headers["transfer-encoding"] === undefined) {
+            message.resume();
+            return Promise.resolve(Buffer.alloc(0));
+        }
+        return new Promise(resolve => {
+            const chunks: Buffer[] = [];
+            let length = 0;
+            message.on("data", (chunk: Buffer) => {
+                length += chunk.length;
+                heldBytes += chunk.length;
+                if (length > limitBytes || heldBytes > heldBodiesBytes) {
+                    message.removeAllListeners("data");
+                    message.resume();
+                    resolve(length > limitBytes ? "too large" : "full");
+                    return;
+                }
+                chunks.push(chunk);
+            });
+            message.on("end", () => resolve(Buffer.concat(chunks)));
+            message.on("close", () => resolve("gone"));
+            message.on("error", () => resolve("gone"));
+            message.once("close", () => heldBytes -= length);
+        });
+    };
+
+    const sendOwn = (
+        response: ServerResponse,
+        requestId: string | undefined,
+        kind: FinalAnswerKind,
+        retryAfterMillis: number | undefined
+    ) => {
+        const { status, meaning } = finalAnswers[kind];
+        const body = `${JSON.stringify({ error: meaning })}\n`;
+        response.writeHead(status, {
+            "Content-Type": "application/json",
+            "Content-Length": Buffer.byteLength(body),
+            ...requestId === undefined ? {} : { [parts.dialect.requestIdHeader]: requestId },
+            ...retryAfterMillis === undefined ? {} : { "Retry-After": (retryAfterMillis / 1_000).toFixed(3) },
+            ...parts.isLeaving() ? { "Connection": "close" } : {}
+        });
+        response.end(body);
+    };
+
+    const sendAnswer = (response: ServerResponse, method: string, answer: ServerAnswer) => {
+        const headers = endToEndHeaders(answer.rawHeaders, answer.headers.connection);
+        const flat = headers.flatMap(([name, value]) => [name, value]);
+        if (parts.isLeaving()) {
+            flat.push("Connection", "close");
+        }
+        if (answer.rest !== undefined) {
+            const declared = answer.headers["content-length"];
+            response.writeHead(
+                answer.status,
+                declared === undefined ? flat : [...flat, "Content-Length", declared]
+            );
+            response.write(answer.body);
+            answer.rest.on("error", () => response.destroy());
+            answer.rest.on("close", () => {
+                if (answer.rest?.complete !== true) {
+                    response.destroy();
+                }
+            });
+            answer.rest.pipe(response);
+            return;
+        }
+        const length = method === "HEAD" ? answer.headers["content-length"] : String(answer.body.length);
+        const hasBody = answer.status !== 204 && answer.status !== 304;
+        response.writeHead(answer.status, hasBody && length !== undefined ? [...flat, "Content-Length", length] : flat);
+        response.end(hasBody ? answer.body : undefined);
+    };
+
+    const route = (request: CallerRequest, arrivedMillis: number): RoutedRequest | FinalAnswerKind => {
+        const inForce = parts.configuration();
+        if (inForce === undefined) {
+            return "notReady";
+        }
+        if (parts.isClosed()) {
+            return "leaving";
+        }
+        const matched = inForce.routes.match(request.host, request.path);
+        if (matched === undefined) {
+            return "noRoute";
+        }
+        const service = inForce.configuration.services.get(parts.splitChoice.choose(matched));
+        return service === undefined
+            ? "noServers"
+            : {
+                request,
+                route: matched,
+                service,
+                configurationVersion: inForce.configuration.version,
+                arrivedMillis
+            };
+    };
+
+    const logEnd = (request: CallerRequest, routed: RoutedRequest | undefined, result: RequestResult, at: number) => {
+        const tookMillis = monotonicMillis() - at;
+        const outcome = result.kind === "own" ? result.answer : result.kind;
+        const routeName = routed?.route.name ?? "none";
+        parts.metrics.requests.inc({ route: routeName, outcome });
+        parts.metrics.latency.observe({ route: routeName }, tookMillis / 1_000);
+        const fields = {
+            requestId: request.id,
+            route: routeName,
+            service: routed?.service.name,
+            configurationVersion: routed?.configurationVersion,
+            tookMillis: Math.round(tookMillis),
+            patienceMillis: request.patienceMillis,
+            outcome,
+            ...result.kind === "answered" ? { status: result.answer.status, server: result.server } : {},
+            ...result.kind === "own"
+                ? { status: finalAnswers[result.answer].status, retryAfterMillis: result.retryAfterMillis }
+                : {}
+        };
+        if (result.kind === "answered" && result.answer.status < 500) {
+            parts.log.info("answered", fields, "request answered");
+        }
+        else {
+            parts.log.info(`failed ${outcome}`, fields, "request not served");
+        }
+    };
+
+    const handle = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
+        const limits = parts.configuration()?.configuration.callerLimits;
+        const body = await readBody(message, limits?.bodyBytes ?? heldBodiesBytes);
+        const arrivedMillis = monotonicMillis();
+        if (body === "gone") {
+            return;
+        }
+        const request = makeCallerRequest(parts.dialect, message, Buffer.isBuffer(body) ? body : Buffer.alloc(0));
+        const routed = body === "too large"
+            ? "bodyTooLarge"
+            : body === "full"
+            ? "overloaded"
+            : route(request, arrivedMillis);
+        if (typeof routed === "string") {
+            const retryAfterMillis = finalAnswers[routed].status === 503 ? notReadyRetryMillis : undefined;
+            sendOwn(response, request.id, routed, retryAfterMillis);
+            logEnd(request, undefined, { kind: "own", answer: routed, retryAfterMillis }, arrivedMillis);
+            return;
+        }
+        const running = parts.run(routed);
+        response.on("close", () => {
+            if (!response.writableFinished) {
+                running.abandon();
+            }
+        });
+        const result = await running.result;
+        if (result.kind === "answered" && !response.destroyed) {
+            sendAnswer(response, request.method, result.answer);
+        }
+        if (result.kind === "own" && !response.destroyed) {
+            sendOwn(response, request.id, result.answer, result.retryAfterMillis);
+        }
+        logEnd(request, routed, result, arrivedMillis);
+    };
+
+    const server = createServer({ keepAliveTimeout: initialIdleMillis, noDelay: true }, (message, response) => {
+        openRequests += 1;
+        response.sendDate = false;
+        response.once("close", () => openRequests -= 1);
+        handle(message, response).catch((error: unknown) => {
+            parts.log.error("fault", { error: String(error) }, "answering a caller went wrong");
+            response.destroy();
+        });
+    });
+    server.on("clientError", (error, socket) => {
+        parts.log.info("bad request", { error: error.message }, "connection of a caller ended by a protocol error");
+        if (socket.writable) {
+            socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        }
+        else {
+            socket.destroy();
+        }
+    });
+    return { server, openRequests: () => openRequests };
+}
+
+/** Applies the declared bounds on what callers may send. */
+export function applyCallerLimits(server: Server, { callerLimits }: TrafficConfiguration): void {
+    server.keepAliveTimeout = callerLimits.idleTimeoutMillis + idleSlackMillis;
+    server.headersTimeout = callerLimits.headerTimeoutMillis;
+    server.requestTimeout = 0;
+}
--- /dev/null
+++ b/packages/endivebridge-gateway/src/Exchange.ts
@@ -0,0 +1,157 @@
+import { monotonicMillis } from "@endivebridge/shared";
+import { type IncomingMessage, request as openRequest } from "node:http";
+import type { Dialect } from "./Dialect";
+import type { ServerConnections } from "./ServerConnections";
+
+/** One send of a request to a backend server. */
+export interface ExchangeCall {
+    readonly host: string;
+    readonly port: number;
+    readonly connections: ServerConnections;
+    readonly method: string;
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string | string[]>>;
+    readonly body: Buffer;
+    readonly requestId: string | undefined;
+    readonly connectTimeoutMillis: number;
+}
+
+/** How a send ended. */
+export type ExchangeOutcome =
+    | { readonly kind: "answered"; readonly answer: ServerAnswer; }
+    /** No byte of the request left this instance. */
+    | { readonly kind: "unreachable"; readonly detail: string; }
+    /** The server may have run the request; its answer did not arrive whole. */
+    | { readonly kind: "lost"; readonly detail: string; readonly wasReset: boolean; }
+    | { readonly kind: "cancelled"; readonly mayHaveRun: boolean; };
+
+/** An answer of a backend server, checked to belong to the request. */
+export interface ServerAnswer {
+    readonly status: number;
+    readonly headers: IncomingMessage["headers"];
+    /** Names and values by turns, as the server sent them. */
+    readonly rawHeaders: readonly string[];
+    readonly body: Buffer;
+    /** What is still to come where the answer is too large to be held. */
+    readonly rest: IncomingMessage | undefined;
+    readonly isNotExecuted: boolean;
+    readonly isSigned: boolean;
+}
+
+/** A send under way. */
+export interface Exchange {
+    readonly outcome: Promise<ExchangeOutcome>;
+    /** Closes the connection; the server drops the request. */
+    readonly cancel: () => void;
+}
+
+/** Answers up to this size are held until they are whole, so that a cut one never looks complete. */
+const heldAnswerBytes = 262_144;
+
+const misdirected = 421;
+
+/** Sends a request once and waits for the whole answer. */
+export function startExchange(dialect: Dialect, call: ExchangeCall): Exchange {
+    let wasSent = false;
+    let isSettled = false;
+    let settle: (outcome: ExchangeOutcome) => void = () => undefined;
+    const outcome = new Promise<ExchangeOutcome>(resolve => settle = resolve);
+    let response: IncomingMessage | undefined;
+
+    call.connections.dropStale(monotonicMillis());
+    const request = openRequest({
+        host: call.host,
+        port: call.port,
+        agent: call.connections,
+        method: call.method,
+        path: call.path,
+        headers: call.headers as Record<string, string | string[]>,
+        setHost: false
+    });
+
+    const finish = (result: ExchangeOutcome) => {
+        if (!isSettled) {
+            isSettled = true;
+            clearTimeout(connectTimer);
+            settle(result);
+        }
+    };
+    const fail = (detail: string, wasReset: boolean) => {
+        finish(wasSent ? { kind: "lost", detail, wasReset } : { kind: "unreachable", detail });
+        request.destroy();
+    };
+    const connectTimer = setTimeout(() => fail("connection timed out", false), call.connectTimeoutMillis);
+
+    request.on("socket", socket => {
+        const onConnected = () => {
+            clearTimeout(connectTimer);
+            wasSent = true;
+        };
+        if (socket.connecting) {
+            socket.once("connect", onConnected);
+        }
+        else {
+            onConnected();
+        }
+    });
+    request.on("error", (error: NodeJS.ErrnoException) => {
+        // A whole answer may be followed by bytes that are none; the answer still counts.
+        if (response?.complete !== true) {
+            fail(error.message, error.code === "ECONNRESET" || error.code === "EPIPE");
+        }
+    });
+    request.on("response", incoming => {
+        response = incoming;
+        const { headers } = incoming;
+        const status = incoming.statusCode ?? 0;
+        const answeredId = headers[dialect.requestIdHeader];
+        const isNotExecuted = headers[dialect.notExecutedHeader] !== undefined || status === misdirected;
+        // An answer that came late to an earlier request names that request.
+        const isOwn = answeredId === call.requestId || (answeredId === undefined && isNotExecuted);
+        if (!isOwn) {
+            fail("answer belongs to another request", false);
+            return;
+        }
+        const chunks: Buffer[] = [];
+        let length = 0;
+        const answer = (rest: IncomingMessage | undefined): ServerAnswer => ({
+            status,
+            headers,
+            rawHeaders: incoming.rawHeaders,
+            body: Buffer.concat(chunks),
+            rest,
+            isNotExecuted,
+            isSigned: headers[dialect.signatureHeader] !== undefined
+        });
+        const onData = (chunk: Buffer) => {
+            chunks.push(chunk);
+            length += chunk.length;
+            if (length > heldAnswerBytes) {
+                incoming.pause();
+                incoming.off("data", onData);
+                finish({ kind: "answered", answer: answer(incoming) });
+            }
+        };
+        incoming.on("data", onData);
+        incoming.on("end", () => {
+            if (incoming.complete) {
+                finish({ kind: "answered", answer: answer(undefined) });
+            }
+        });
+        incoming.on("error", error => fail(error.message, true));
+        incoming.on("close", () => {
+            if (!incoming.complete) {
+                fail("answer cut", true);
+            }
+        });
+    });
+    request.end(call.body.length > 0 ? call.body : undefined);
+
+    return {
+        outcome,
+        cancel: () => {
+            finish({ kind: "cancelled", mayHaveRun: wasSent });
+            request.destroy();
+        }
+    };
+}
--- /dev/null
+++ b/packages/endivebridge-gateway/src/FinalAnswers.ts
@@ -0,0 +1,29 @@
+/** What a caller is told where no backend server's answer can be given. */
+export interface FinalAnswer {
+    readonly status: number;
+    readonly meaning: string;
+    /** True only where no backend server ran the request and none will. */
+    readonly notRun: boolean;
+}
+
+/** The closed list of final answers of the gateway's own. */
+export const finalAnswers = {
+    badRequest: { status: 400, notRun: true, meaning: "the request is malformed" },
+    noRoute: { status: 404, notRun: true, meaning: "no route takes this host and path" },
+    bodyTooLarge: { status: 413, notRun: true, meaning: "the request body is over the limit" },
+    notReady: { status: 503, notRun: true, meaning: "the instance has no configuration yet" },
+    leaving: { status: 503, notRun: true, meaning: "the instance is shutting down" },
+    noServers: { status: 503, notRun: true, meaning: "no backend server of the service can be used" },
+    overloaded: { status: 503, notRun: true, meaning: "no slot will be free in time" },
+    rejected: { status: 503, notRun: true, meaning: "backend servers rejected the request without running it" },
+    unreachable: { status: 503, notRun: true, meaning: "no backend server could be reached" },
+    quarantined: { status: 503, notRun: true, meaning: "backend servers crashed while running this request" },
+    crashedServers: { status: 502, notRun: false, meaning: "backend servers crashed while running this request" },
+    answerLost: { status: 502, notRun: false, meaning: "the backend server's answer was lost" },
+    timedOutBeforeRun: { status: 503, notRun: true, meaning: "the deadline passed before a slot was free" },
+    timedOut: { status: 504, notRun: false, meaning: "the deadline passed while a backend server had the request" },
+    internal: { status: 500, notRun: false, meaning: "a fault of the gateway itself" }
+} as const satisfies Record<string, FinalAnswer>;
+
+/** Kind of a final answer of the gateway's own. */
+export type FinalAnswerKind = keyof typeof finalAnswers;
--- /dev/null
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -0,0 +1,274 @@
+import { makePoisonList } from "@endivebridge/core";
+import { monotonicMillis } from "@endivebridge/shared";
+import {
+    type BackendServer,
+    makeMembers,
+    makePlacement,
+    makeRetryBudget,
+    makeRouteTable,
+    makeServerPool,
+    makeShiftLimit,
+    makeSplitChoice,
+    makeWaitingRoom,
+    makeWorkEstimates,
+    type MemberRecord,
+    type RetryBudgetLimits,
+    type TrafficConfiguration
+} from "@endivebridge/traffic";
+import { randomBytes } from "node:crypto";
+import { applyCallerLimits, type ConfigurationInForce, makeCallerServer } from "./CallerServer";
+import type { Dialect } from "./Dialect";
+import { type Directory, makeDirectory } from "./Directory";
+import type { EventLog } from "./EventLog";
+import type { GatewayMetrics } from "./GatewayMetrics";
+import { memberLiveMillis, startPeerExchange } from "./PeerExchange";
+import { runRequest } from "./RunRequest";
+import { ServerConnections } from "./ServerConnections";
+
+/** Settings of one gateway. */
+export interface GatewaySettings {
+    readonly own: MemberRecord;
+    readonly callerHost: string;
+    readonly callerPort: number;
+    readonly seeds: readonly { readonly host: string; readonly port: number; }[];
+    readonly retryBudget: RetryBudgetLimits;
+    /** Most of a region's requests that may change the region they are served in within two seconds. */
+    readonly shiftShareInTwoSeconds: number;
+    /** Time between the order to stop and the end of the process by force. */
+    readonly stopMillis: number;
+}
+
+/** One running gateway: commands that change what it believes, and queries. */
+export interface Gateway {
+    /** Takes a configuration; older ones than that in force are ignored. */
+    readonly takeConfiguration: (configuration: TrafficConfiguration) => void;
+    readonly takeServer: (server: BackendServer) => void;
+    readonly dropServer: (id: string, reason: string) => void;
+    readonly serverIds: () => readonly string[];
+    readonly setEvacuated: (failureDomain: string, isEvacuated: boolean) => void;
+    readonly introduceMember: (record: MemberRecord) => void;
+    readonly isReady: () => boolean;
+    readonly directory: Directory;
+    /** Finishes what callers have sent, then resolves. */
+    readonly stop: () => Promise<void>;
+}
+
+/** Part of the permitted slope that is used, since instances do not all see the same share of requests. */
+const shiftSafety = 0.6;
+/** Those who wait are looked at this often, besides each time that a slot is freed. */
+const waitingTurnMillis = 25;
+/** First guess of the round trip to another region; connections measure it. */
+const otherRegionRoundTripMillis = 110;
+/** Before the end by force, new requests are refused for this long, so that what is under way can end. */
+const refuseBeforeEndMillis = 1_500;
+/** The process ends this long before the end by force. */
+const endMarginMillis = 400;
+const omittedReportMillis = 5_000;
+
+/** Puts the parts of a gateway together and starts it. */
+export function startGateway(
+    settings: GatewaySettings,
+    dialect: Dialect,
+    log: EventLog,
+    metrics: GatewayMetrics
+): Gateway {
+    const { own } = settings;
+    const pool = makeServerPool();
+    const members = makeMembers(own.name, record => memberLiveMillis(own.region, members.known().length)(record));
+    const poison = makePoisonList();
+    const estimates = makeWorkEstimates();
+    const waitingRoom = makeWaitingRoom();
+    const retryBudget = makeRetryBudget(settings.retryBudget);
+    const splitChoice = makeSplitChoice(Math.random);
+    const shift = makeShiftLimit(settings.shiftShareInTwoSeconds / 2 * shiftSafety);
+    const evacuated = new Set<string>();
+    const connections = new Map<string, ServerConnections>();
+    let inForce: ConfigurationInForce | undefined;
+    let stoppingSinceMillis: number | undefined;
+
+    const service = (name: string) => inForce?.configuration.services.get(name);
+
+    /** Instances that share a cold server: those of its failure domain, else of its region. */
+    const coldSharers = (failureDomain: string): number => {
+        const nowMillis = monotonicMillis();
+        const live = members.live(nowMillis);
+        const sharers = live.filter(member => member.failureDomain === failureDomain);
+        if (failureDomain === own.failureDomain) {
+            return sharers.length + 1;
+        }
+        return sharers.length > 0 ? 0 : live.filter(member => member.region === own.region).length + 1;
+    };
+
+    const placement = makePlacement({
+        failureDomain: own.failureDomain,
+        region: own.region,
+        pool,
+        service,
+        isEvacuated: failureDomain => evacuated.has(failureDomain),
+        roundTripMillis: () => otherRegionRoundTripMillis,
+        coldSharers,
+        estimates,
+        shift
+    });
+
+    const connectionsTo = (id: string, serviceName: string): ServerConnections => {
+        let known = connections.get(id);
+        if (known === undefined) {
+            known = new ServerConnections(service(serviceName)?.maximumConnections ?? 1);
+            connections.set(id, known);
+        }
+        return known;
+    };
+
+    const isReady = () => inForce !== undefined && pool.size() > 0 && stoppingSinceMillis === undefined;
+
+    const { server, openRequests } = makeCallerServer({
+        dialect,
+        configuration: () => inForce,
+        splitChoice,
+        run: routed =>
+            runRequest({
+                dialect,
+                placement,
+                waitingRoom,
+                retryBudget,
+                estimates,
+                poison,
+                members,
+                connectionsOf: placed => connectionsTo(placed.tracked.server.id, placed.tracked.server.service),
+                log,
+                metrics
+            }, routed),
+        isLeaving: () => stoppingSinceMillis !== undefined,
+        isClosed: () =>
+            stoppingSinceMillis !== undefined
+            && monotonicMillis() - stoppingSinceMillis > settings.stopMillis - refuseBeforeEndMillis,
+        log,
+        metrics
+    });
+    server.listen(settings.callerPort, settings.callerHost);
+
+    const ownInFlight = (): Record<string, number> => {
+        const counts: Record<string, number> = {};
+        for (const tracked of pool.all()) {
+            if (tracked.ownInFlight > 0) {
+                counts[tracked.server.id] = tracked.ownInFlight;
+            }
+        }
+        return counts;
+    };
+
+    const peers = startPeerExchange({
+        own,
+        incarnation: randomBytes(6).toString("base64url"),
+        members,
+        seeds: settings.seeds,
+        describeSelf: () => ({ isReady: isReady(), inFlight: ownInFlight() }),
+        crashes: () => poison.quarantined(monotonicMillis()),
+        onReport: () => {
+            const sums = members.inFlight(monotonicMillis());
+            for (const tracked of pool.all()) {
+                tracked.peersInFlight = sums.get(tracked.server.id) ?? 0;
+            }
+        },
+        onCrashes: crashes => {
+            const nowMillis = monotonicMillis();
+            for (const crash of crashes) {
+                if (!poison.isQuarantined(crash.fingerprint, nowMillis)) {
+                    poison.learn(crash, nowMillis);
+                    log.info("quarantine", { ...crash }, "a peer reports a request that crashes backend servers");
+                }
+            }
+        },
+        log
+    });
+
+    const waitingTimer = setInterval(() => waitingRoom.serveAll(monotonicMillis()), waitingTurnMillis);
+    const omittedTimer = setInterval(() => {
+        log.reportOmitted();
+        metrics.servers.set(pool.size());
+        metrics.members.set(members.live(monotonicMillis()).length);
+    }, omittedReportMillis);
+
+    return {
+        takeConfiguration: configuration => {
+            const current = inForce?.configuration.version;
+            if (current !== undefined && current >= configuration.version) {
+                return;
+            }
+            inForce = {
+                configuration,
+                routes: makeRouteTable(configuration.routes),
+                takenMillis: monotonicMillis()
+            };
+            applyCallerLimits(server, configuration);
+            metrics.configurationVersion.set(configuration.version);
+            log.info("configuration", {
+                version: configuration.version,
+                previous: current,
+                routes: configuration.routes.length,
+                services: configuration.services.size
+            }, "configuration in force");
+        },
+        takeServer: backendServer => {
+            const known = pool.get(backendServer.id)?.server;
+            pool.upsert(backendServer, monotonicMillis());
+            if (known === undefined || known.isLeaving !== backendServer.isLeaving) {
+                log.info("server", { ...backendServer }, backendServer.isLeaving ? "server is leaving" : "server known");
+            }
+            waitingRoom.serve(backendServer.service, monotonicMillis());
+        },
+        dropServer: (id, reason) => {
+            if (pool.remove(id) !== undefined) {
+                // Requests in flight keep their connections; no new one is opened.
+                connections.delete(id);
+                log.info("server", { id, reason }, "server gone");
+            }
+        },
+        serverIds: () => [...pool.all()].map(tracked => tracked.server.id),
+        setEvacuated: (failureDomain, isEvacuated) => {
+            if (evacuated.has(failureDomain) === isEvacuated) {
+                return;
+            }
+            const nowMillis = monotonicMillis();
+            if (isEvacuated) {
+                evacuated.add(failureDomain);
+            }
+            else {
+                evacuated.delete(failureDomain);
+                for (const tracked of pool.all()) {
+                    if (tracked.server.failureDomain === failureDomain) {
+                        const coldMillis = service(tracked.server.service)?.coldStartMillis ?? 0;
+                        tracked.coldUntilMillis = Math.max(tracked.coldUntilMillis, nowMillis + coldMillis);
+                    }
+                }
+            }
+            log.info("evacuation", { failureDomain, isEvacuated }, "evacuation changed");
+        },
+        introduceMember: members.introduce,
+        isReady,
+        directory: makeDirectory(own, isReady, members),
+        stop: () => {
+            const startedMillis = monotonicMillis();
+            stoppingSinceMillis = startedMillis;
+            log.info("stop", { openRequests: openRequests() }, "stopping: callers are sent elsewhere");
+            peers.announce();
+            return new Promise(resolve => {
+                const timer = setInterval(() => {
+                    const elapsedMillis = monotonicMillis() - startedMillis;
+                    const isLate = elapsedMillis > settings.stopMillis - endMarginMillis;
+                    const isIdle = openRequests() === 0
+                        && elapsedMillis > settings.stopMillis - refuseBeforeEndMillis;
+                    if (isLate || isIdle) {
+                        clearInterval(timer);
+                        clearInterval(waitingTimer);
+                        clearInterval(omittedTimer);
+                        log.info("stop", { openRequests: openRequests(), elapsedMillis }, "stopped");
+                        peers.close();
+                        resolve();
+                    }
+                }, 50);
+            });
+        }
+    };
+}
--- /dev/null
+++ b/packages/endivebridge-gateway/src/GatewayMetrics.ts
@@ -0,0 +1,55 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** Upper bounds of the latency buckets, around the objectives of interactive requests. */
+const latencyBucketsSeconds = [0.005, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 1.5, 2, 3, 5];
+
+/** Counters, gauges and histograms of one instance. */
+export type GatewayMetrics = ReturnType<typeof makeGatewayMetrics>;
+
+/** Makes the metrics of one instance, all at zero. */
+export function makeGatewayMetrics() {
+    const registry = new Registry();
+    const registers = [registry];
+    return {
+        registry,
+        requests: new Counter({
+            name: "endivebridge_requests_total",
+            help: "Requests of callers by route and outcome",
+            labelNames: ["route", "outcome"],
+            registers
+        }),
+        latency: new Histogram({
+            name: "endivebridge_request_seconds",
+            help: "Time from a request's arrival to its final answer",
+            labelNames: ["route"],
+            buckets: latencyBucketsSeconds,
+            registers
+        }),
+        queueWait: new Histogram({
+            name: "endivebridge_queue_wait_seconds",
+            help: "Time that requests waited for a slot",
+            labelNames: ["service"],
+            buckets: latencyBucketsSeconds,
+            registers
+        }),
+        attempts: new Counter({
+            name: "endivebridge_attempts_total",
+            help: "Sends to backend servers by service and outcome",
+            labelNames: ["service", "outcome"],
+            registers
+        }),
+        storeCalls: new Counter({
+            name: "endivebridge_store_calls_total",
+            help: "Calls to the platform's store by call and outcome",
+            labelNames: ["call", "outcome"],
+            registers
+        }),
+        configurationVersion: new Gauge({
+            name: "endivebridge_configuration_version",
+            help: "Version of the configuration in force",
+            registers
+        }),
+        servers: new Gauge({ name: "endivebridge_servers", help: "Backend servers known", registers }),
+        members: new Gauge({ name: "endivebridge_members_live", help: "Other instances heard lately", registers })
+    };
+}
--- /dev/null
+++ b/packages/endivebridge-gateway/src/LineWriter.ts
@@ -0,0 +1,76 @@
+import { write } from "node:fs";
+
+/** Writes lines to a file descriptor without ever waiting for its reader. */
+export interface LineWriter {
+    readonly write: (line: string) => void;
+    /** Lines left out since the last call, because the reader did not keep up. */
+    readonly takeDropped: () => number;
+}
+
+/** Bytes kept for a reader that does not keep up; beyond them lines are dropped. */
+const mostPendingBytes = 262_144;
+/** Lines are gathered for this long, so that a busy second costs few writes. */
+const gatherMillis = 50;
+/** Pause before a full pipe is tried again. */
+const fullPipePauseMillis = 100;
+
+type WriteBytes = (bytes: Buffer, done: (error: NodeJS.ErrnoException | undefined, written: number) => void) => void;
+
+/** Writes to standard output from the thread pool: a stalled reader blocks neither requests nor the process's end. */
+export function writeToStandardOutput(
+    bytes: Buffer,
+    done: (error: NodeJS.ErrnoException | undefined, written: number) => void
+): void {
+    write(1, bytes, (error, written) => done(error ?? undefined, written));
+}
+
+/** Makes a writer that has at most one write under way. */
+export function makeLineWriter(writeBytes: WriteBytes): LineWriter {
+    let gathered: string[] = [];
+    let gatheredBytes = 0;
+    let unsent: Buffer | undefined;
+    let isBusy = false;
+    let dropped = 0;
+
+    const schedule = (delayMillis: number) => {
+        isBusy = true;
+        setTimeout(flush, delayMillis).unref();
+    };
+
+    const flush = () => {
+        if (unsent === undefined) {
+            unsent = Buffer.from(gathered.join(""));
+            gathered = [];
+            gatheredBytes = 0;
+        }
+        writeBytes(unsent, (error, written) => {
+            const remaining = error === undefined ? unsent!.subarray(written) : unsent!;
+            // Only a full pipe is worth another try; nobody reads from one that is broken.
+            const isFull = error?.code === "EAGAIN";
+            unsent = remaining.length > 0 && (error === undefined || isFull) ? remaining : undefined;
+            isBusy = false;
+            if (unsent !== undefined || gathered.length > 0) {
+                schedule(isFull ? fullPipePauseMillis : gatherMillis);
+            }
+        });
+    };
+
+    return {
+        write: line => {
+            if (gatheredBytes + line.length > mostPendingBytes) {
+                dropped += 1;
+                return;
+            }
+            gathered.push(line);
+            gatheredBytes += line.length;
+            if (!isBusy) {
+                schedule(gatherMillis);
+            }
+        },
+        takeDropped: () => {
+            const count = dropped;
+            dropped = 0;
+            return count;
+        }
+    };
+}
--- /dev/null
+++ b/packages/endivebridge-gateway/src/PeerExchange.ts
@@ -0,0 +1,171 @@
+import type { StruckRequest } from "@endivebridge/core";
+import { monotonicMillis, type Teardown } from "@endivebridge/shared";
+import type { MemberRecord, MemberReport, Members } from "@endivebridge/traffic";
+import { createSocket } from "node:dgram";
+import { array, boolean, Codec, type GetType, number, optional, record, string } from "purify-ts";
+import type { EventLog } from "./EventLog";
+
+const MemberRecordCodec = Codec.interface({
+    name: string,
+    host: string,
+    peerPort: number,
+    callerAddress: string,
+    failureDomain: string,
+    region: string
+});
+
+const PeerMessage = Codec.interface({
+    record: MemberRecordCodec,
+    incarnation: string,
+    sequence: number,
+    isReady: boolean,
+    inFlight: record(string, number),
+    /** Other instances that the sender knows. */
+    members: optional(array(MemberRecordCodec)),
+    /** Requests under which backend servers crashed. */
+    crashes: optional(array(Codec.interface({ fingerprint: string, servers: array(string) })))
+});
+
+/** One message between instances. */
+export type PeerMessage = GetType<typeof PeerMessage>;
+
+/** What the exchange between instances needs. */
+export interface PeerExchangeParts {
+    readonly own: MemberRecord;
+    readonly incarnation: string;
+    readonly members: Members;
+    /** Where to look for instances that are not known yet. */
+    readonly seeds: readonly { readonly host: string; readonly port: number; }[];
+    readonly describeSelf: () => Pick<MemberReport, "isReady" | "inFlight">;
+    readonly crashes: () => readonly StruckRequest[];
+    readonly onReport: (report: MemberReport) => void;
+    readonly onCrashes: (crashes: readonly StruckRequest[]) => void;
+    readonly log: EventLog;
+}
+
+/** The exchange between instances. */
+export interface PeerExchange {
+    /** Tells every known instance at once, such as that this one is leaving. */
+    readonly announce: () => void;
+    readonly close: Teardown;
+}
+
+/** Time between messages to an instance of the own region with few members; their requests in flight change as fast. */
+const nearIntervalMillis = 100;
+/** Time between messages to an instance of another region, whose load changes little by the time it is heard. */
+const farIntervalMillis = 500;
+/** Members beyond which intervals grow, so that messages a second do not grow with the square of the members. */
+const membersAtFullRate = 8;
+/** Known members travel along this often. */
+const introduceIntervalMillis = 1_000;
+/** Instances that were never heard are tried at this interval. */
+const unheardIntervalMillis = 1_000;
+/** Keeps a message within one datagram. */
+const mostMembersInMessage = 40;
+const mostCrashesInMessage = 8;
+
+/** How long a member counts as live after it was last heard. */
+export function memberLiveMillis(ownRegion: string, members: number): (record: MemberRecord) => number {
+    const factor = Math.max(1, members / membersAtFullRate);
+    return record => (record.region === ownRegion ? 1_200 : 2_500) * Math.min(2, factor);
+}
+
+/** Starts the exchange on the own peer address. */
+export function startPeerExchange(parts: PeerExchangeParts): PeerExchange {
+    const socket = createSocket("udp4");
+    let sequence = 0;
+    let isClosed = false;
+    const lastSentMillis = new Map<string, number>();
+    let introducedMillis = 0;
+
+    socket.on("error", error => parts.log.warn("peer socket", { error: error.message }, "peer socket failed"));
+    socket.on("message", datagram => {
+        const message = decode(datagram);
+        if (message === undefined) {
+            parts.log.warn("peer message", { bytes: datagram.length }, "peer message of an unknown form");
+            return;
+        }
+        const nowMillis = monotonicMillis();
+        const isNews = parts.members.hear(message, nowMillis);
+        message.members?.forEach(parts.members.introduce);
+        if (isNews) {
+            parts.onReport(message);
+        }
+        if (message.crashes !== undefined && message.crashes.length > 0) {
+            parts.onCrashes(message.crashes);
+        }
+    });
+
+    const message = (withMembers: boolean): Buffer => {
+        sequence += 1;
+        const crashes = parts.crashes().slice(-mostCrashesInMessage);
+        const content: PeerMessage = {
+            record: parts.own,
+            incarnation: parts.incarnation,
+            sequence,
+            ...parts.describeSelf(),
+            inFlight: { ...parts.describeSelf().inFlight },
+            members: withMembers ? [...parts.members.known()].slice(0, mostMembersInMessage) : undefined,
+            crashes: crashes.length > 0 ? crashes.map(crash => ({ ...crash, servers: [...crash.servers] })) : undefined
+        };
+        return Buffer.from(JSON.stringify(content));
+    };
+
+    const transmit = (bytes: Buffer, host: string, port: number) => {
+        if (!isClosed) {
+            // A datagram that cannot be sent is as good as lost; the next one follows.
+            socket.send(bytes, port, host, () => undefined);
+        }
+    };
+
+    const turn = (sendToAll: boolean) => {
+        const nowMillis = monotonicMillis();
+        const live = new Set(parts.members.live(nowMillis).map(member => member.name));
+        const factor = Math.max(1, live.size / membersAtFullRate);
+        const introduces = nowMillis - introducedMillis >= introduceIntervalMillis;
+        if (introduces) {
+            introducedMillis = nowMillis;
+        }
+        let bytes: Buffer | undefined;
+        for (const member of parts.members.known()) {
+            const intervalMillis = !live.has(member.name)
+                ? unheardIntervalMillis
+                : member.region === parts.own.region
+                ? nearIntervalMillis * factor
+                : farIntervalMillis * factor;
+            const dueMillis = (lastSentMillis.get(member.name) ?? -Infinity) + intervalMillis - turnMillis / 2;
+            if (sendToAll || nowMillis >= dueMillis) {
+                bytes ??= message(introduces);
+                lastSentMillis.set(member.name, nowMillis);
+                transmit(bytes, member.host, member.peerPort);
+            }
+        }
+        if (live.size === 0 && introduces) {
+            for (const seed of parts.seeds) {
+                transmit(message(true), seed.host, seed.port);
+            }
+        }
+    };
+
+    const turnMillis = nearIntervalMillis;
+    const timer = setInterval(() => turn(false), turnMillis);
+    socket.bind(parts.own.peerPort, parts.own.host);
+    return {
+        announce: () => turn(true),
+        close: () => {
+            isClosed = true;
+            clearInterval(timer);
+            socket.close();
+        }
+    };
+}
+
+function decode(datagram: Buffer): PeerMessage | undefined {
+    try {
+        return PeerMessage.decode(JSON.parse(datagram.toString("utf8"))).toMaybe().extract();
+    }
+    catch {
+        // Not JSON: the caller logs it.
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -0,0 +1,347 @@
+import type { PoisonList } from "@endivebridge/core";
+import { monotonicMillis } from "@endivebridge/shared";
+import {
+    currentSlowness,
+    type Members,
+    type Placed,
+    type Placement,
+    type RefusalReason,
+    type RetryBudget,
+    type Route,
+    type Service,
+    type Waiter,
+    type WaitingRoom,
+    type WorkEstimates
+} from "@endivebridge/traffic";
+import { affinityHash, type CallerRequest, requestFingerprint } from "./CallerRequest";
+import type { Dialect } from "./Dialect";
+import type { EventLog } from "./EventLog";
+import { type Exchange, type ExchangeOutcome, type ServerAnswer, startExchange } from "./Exchange";
+import type { FinalAnswerKind } from "./FinalAnswers";
+import type { GatewayMetrics } from "./GatewayMetrics";
+import type { ServerConnections } from "./ServerConnections";
+
+/** A request with the route and service that the configuration gave it. */
+export interface RoutedRequest {
+    readonly request: CallerRequest;
+    readonly route: Route;
+    readonly service: Service;
+    readonly configurationVersion: number;
+    readonly arrivedMillis: number;
+}
+
+/** How a request ended. */
+export type RequestResult =
+    | { readonly kind: "answered"; readonly answer: ServerAnswer; readonly server: string; }
+    | { readonly kind: "own"; readonly answer: FinalAnswerKind; readonly retryAfterMillis: number | undefined; }
+    | { readonly kind: "abandoned"; };
+
+/** A request being served. */
+export interface RunningRequest {
+    readonly result: Promise<RequestResult>;
+    /** The caller left: nothing more is sent, and the server's work is cancelled. */
+    readonly abandon: () => void;
+}
+
+/** What serving a request needs. */
+export interface RunRequestParts {
+    readonly dialect: Dialect;
+    readonly placement: Placement;
+    readonly waitingRoom: WaitingRoom;
+    readonly retryBudget: RetryBudget;
+    readonly estimates: WorkEstimates;
+    readonly poison: PoisonList;
+    readonly members: Members;
+    readonly connectionsOf: (placed: Placed) => ServerConnections;
+    readonly log: EventLog;
+    readonly metrics: GatewayMetrics;
+}
+
+/** A request is refused at this share of its objective where nothing is known of how long its work takes. */
+const leastWaitShare = 0.125;
+/** A connection that is not there by then is given up; servers accept within milliseconds. */
+const connectTimeoutMillis = 400;
+/** Beyond the length of the way to another region. */
+const remoteConnectTimeoutMillis = 700;
+/** A server is passed over for this long after a failed connection, twice as long after each further one. */
+const avoidMillis = 200;
+const mostAvoidMillis = 2_000;
+/** Weight of the newest outcome in a server's share of failures. */
+const newestOutcomeWeight = 0.15;
+/** A crash within this time of the send is blamed on the request; later the server was at work on others too. */
+const crashBlameMillis = 400;
+/** A caller that was refused because nothing could be reached comes back after this time. */
+const unreachableRetryMillis = 300;
+/** Time for an answer's way back to the caller. */
+const answerMarginMillis = 5;
+
+type PlacedOrNot =
+    | { readonly kind: "placed"; readonly placed: Placed; }
+    | { readonly kind: "refused"; readonly reason: RefusalReason; readonly retryAfterMillis: number; }
+    | { readonly kind: "ended"; };
+
+const refusalAnswers: Record<RefusalReason, FinalAnswerKind> = {
+    "no servers": "noServers",
+    "overloaded": "overloaded",
+    "waited too long": "overloaded"
+};
+
+/** Serves one request: waits for a server, sends, sends again where that is safe, until one final answer is known. */
+export function runRequest(parts: RunRequestParts, routed: RoutedRequest): RunningRequest {
+    const { request, route, service, arrivedMillis } = routed;
+    const patienceMillis = Math.min(request.patienceMillis ?? Infinity, route.timeoutMillis);
+    const deadlineMillis = arrivedMillis + patienceMillis - answerMarginMillis;
+    const keyHash = affinityHash(request, route);
+    const triedServers = new Set<string>();
+    let isOver = false;
+    let mayHaveRun = false;
+    let sends = 0;
+    let stopWaiting: (() => void) | undefined;
+    let exchange: Exchange | undefined;
+    let settle: (result: RequestResult) => void = () => undefined;
+    const result = new Promise<RequestResult>(resolve => settle = resolve);
+
+    const end = (ended: RequestResult) => {
+        if (!isOver) {
+            isOver = true;
+            clearTimeout(deadlineTimer);
+            stopWaiting?.();
+            exchange?.cancel();
+            settle(ended);
+        }
+    };
+    const endWith = (answer: FinalAnswerKind, retryAfterMillis?: number) =>
+        end({ kind: "own", answer, retryAfterMillis });
+    const deadlineTimer = setTimeout(
+        () => endWith(mayHaveRun ? "timedOut" : "timedOutBeforeRun"),
+        Math.max(0, deadlineMillis - monotonicMillis())
+    );
+
+    const place = (isNew: boolean): Promise<PlacedOrNot> =>
+        new Promise(resolve => {
+            let isFirstLook = isNew;
+            let reason: RefusalReason | undefined;
+            const finish = (found: PlacedOrNot) => {
+                stopWaiting = undefined;
+                resolve(found);
+            };
+            const expectedMillis = parts.estimates.estimateMillis(route, 1);
+            const waitMillis = Math.max(
+                route.objectiveMillis * leastWaitShare,
+                route.objectiveMillis - expectedMillis
+            );
+            const waiter: Waiter = {
+                service: service.name,
+                priority: route.priority,
+                giveUpAtMillis: Math.min(arrivedMillis + waitMillis, deadlineMillis),
+                tryPlace: nowMillis => {
+                    const chosen = parts.placement.choose(
+                        { route, service: service.name, keyHash, triedServers, isNew: isFirstLook },
+                        nowMillis
+                    );
+                    isFirstLook = false;
+                    if (typeof chosen === "string") {
+                        reason = chosen === "no servers" ? "no servers" : undefined;
+                        return false;
+                    }
+                    chosen.tracked.ownInFlight += 1;
+                    if (chosen.tracked.coldUntilMillis > nowMillis) {
+                        chosen.tracked.coldLimit.take();
+                    }
+                    finish({ kind: "placed", placed: chosen });
+                    return true;
+                },
+                refuse: (why, retryAfterMillis) => {
+                    finish({ kind: "refused", reason: reason ?? why, retryAfterMillis });
+                }
+            };
+            stopWaiting = () => {
+                parts.waitingRoom.leave(waiter);
+                finish({ kind: "ended" });
+            };
+            parts.waitingRoom.enter(waiter, monotonicMillis());
+        });
+
+    const send = async (placed: Placed): Promise<ExchangeOutcome> => {
+        const { server } = placed.tracked;
+        const leftMillis = Math.max(1, Math.floor(deadlineMillis - monotonicMillis()));
+        triedServers.add(server.id);
+        sends += 1;
+        exchange = startExchange(parts.dialect, {
+            host: server.host,
+            port: server.port,
+            connections: parts.connectionsOf(placed),
+            method: request.method,
+            path: request.target,
+            headers: {
+                ...request.headers,
+                ...request.body.length > 0 ? { "content-length": String(request.body.length) } : {},
+                [parts.dialect.deadlineHeader]: String(leftMillis),
+                [parts.dialect.targetServerHeader]: server.id
+            },
+            body: request.body,
+            requestId: request.id,
+            connectTimeoutMillis: placed.isRemote ? remoteConnectTimeoutMillis : connectTimeoutMillis
+        });
+        const outcome = await exchange.outcome;
+        exchange = undefined;
+        return outcome;
+    };
+
+    /** Takes in what a send showed of its server. */
+    const learn = (placed: Placed, outcome: ExchangeOutcome, tookMillis: number) => {
+        const { tracked } = placed;
+        const nowMillis = monotonicMillis();
+        tracked.ownInFlight -= 1;
+        const isFailure = outcome.kind === "answered"
+            ? outcome.answer.isNotExecuted || outcome.answer.status >= 500
+            : outcome.kind !== "cancelled";
+        if (outcome.kind !== "cancelled") {
+            tracked.failureShare += newestOutcomeWeight * ((isFailure ? 1 : 0) - tracked.failureShare);
+        }
+        if (outcome.kind === "unreachable") {
+            tracked.failedConnections += 1;
+            const pauseMillis = Math.min(mostAvoidMillis, avoidMillis * 2 ** (tracked.failedConnections - 1));
+            tracked.avoidUntilMillis = nowMillis + pauseMillis;
+        }
+        if (outcome.kind === "answered") {
+            if (tracked.failedConnections > 0) {
+                // It may have been restarted, and is cold until the platform's word on it is newer.
+                tracked.failedConnections = 0;
+                tracked.coldUntilMillis = Math.max(tracked.coldUntilMillis, nowMillis + service.coldStartMillis);
+            }
+            const { answer } = outcome;
+            const loadText = answer.headers[parts.dialect.serverLoadHeader];
+            const load = typeof loadText === "string" ? parts.dialect.parseServerLoad(loadText) : undefined;
+            if (load !== undefined) {
+                tracked.slowness = load.slowness;
+                tracked.slownessAtMillis = nowMillis;
+                tracked.reportedWaiting = load.waiting;
+            }
+            if (answer.isSigned && answer.status < 500) {
+                const distanceMillis = placed.isRemote ? placed.expectedMillis : 0;
+                if (distanceMillis === 0) {
+                    const slowness = currentSlowness(tracked, nowMillis);
+                    const rank = keyHash === undefined ? 0 : placed.rank;
+                    parts.estimates.learn(route, rank, tookMillis / slowness);
+                }
+            }
+        }
+        parts.metrics.attempts.inc({ service: service.name, outcome: outcome.kind });
+        parts.waitingRoom.serve(service.name, nowMillis);
+    };
+
+    const noteCrash = (placed: Placed, outcome: ExchangeOutcome, tookMillis: number) => {
+        if (outcome.kind === "answered" && !parts.poison.isEmpty()) {
+            parts.poison.clear(requestFingerprint(request));
+        }
+        if (outcome.kind === "lost" && outcome.wasReset && tookMillis < crashBlameMillis) {
+            const fingerprint = requestFingerprint(request);
+            const isQuarantined = parts.poison.strike(fingerprint, placed.tracked.server.id, true, monotonicMillis());
+            parts.log.warn("crash", {
+                requestId: request.id,
+                server: placed.tracked.server.id,
+                fingerprint,
+                tookMillis,
+                isQuarantined
+            }, "backend server reset the connection soon after the request was sent");
+        }
+    };
+
+    const isQuarantined = (): boolean =>
+        !parts.poison.isEmpty() && parts.poison.isQuarantined(requestFingerprint(request), monotonicMillis());
+
+    /** Whether the request may go to one more server; spends the budget where it may. */
+    const maySendAgain = (arrivedAtServer: boolean): boolean => {
+        if (sends >= route.maximumAttempts || (mayHaveRun && !route.isIdempotent)) {
+            return false;
+        }
+        const nowMillis = monotonicMillis();
+        if (deadlineMillis - nowMillis < parts.estimates.estimateMillis(route, 0) * 0.5) {
+            return false;
+        }
+        const instances = parts.members.live(nowMillis).length + 1;
+        return !arrivedAtServer || parts.retryBudget.trySpend(service.name, instances, nowMillis);
+    };
+
+    const serve = async (): Promise<void> => {
+        if (isQuarantined()) {
+            endWith("quarantined");
+            return;
+        }
+        parts.retryBudget.countRequest(service.name, monotonicMillis());
+        for (let isNew = true; !isOver; isNew = false) {
+            const place0 = await place(isNew);
+            if (place0.kind === "ended") {
+                return;
+            }
+            if (place0.kind === "refused") {
+                endWith(mayHaveRun ? "answerLost" : refusalAnswers[place0.reason], place0.retryAfterMillis);
+                return;
+            }
+            const { placed } = place0;
+            const sentMillis = monotonicMillis();
+            parts.metrics.queueWait.observe({ service: service.name }, (sentMillis - arrivedMillis) / 1_000);
+            const outcome = await send(placed);
+            const tookMillis = monotonicMillis() - sentMillis;
+            learn(placed, outcome, tookMillis);
+            noteCrash(placed, outcome, tookMillis);
+            if (outcome.kind === "cancelled") {
+                return;
+            }
+            const ran = outcome.kind === "lost"
+                || (outcome.kind === "answered" && !outcome.answer.isNotExecuted);
+            mayHaveRun ||= ran;
+            if (outcome.kind === "answered" && !outcome.answer.isNotExecuted && outcome.answer.isSigned) {
+                const isServerError = outcome.answer.status >= 500;
+                if (isServerError && outcome.answer.rest === undefined && route.isIdempotent && maySendAgain(true)) {
+                    logResend(placed, `status ${outcome.answer.status}`, tookMillis);
+                    continue;
+                }
+                end({ kind: "answered", answer: outcome.answer, server: placed.tracked.server.id });
+                return;
+            }
+            const detail = outcome.kind === "answered" ? `not run, status ${outcome.answer.status}` : outcome.detail;
+            if (isQuarantined()) {
+                endWith("crashedServers");
+                return;
+            }
+            if (maySendAgain(outcome.kind !== "unreachable")) {
+                logResend(placed, detail, tookMillis);
+                continue;
+            }
+            if (mayHaveRun) {
+                endWith("answerLost");
+            }
+            else if (outcome.kind === "unreachable") {
+                endWith("unreachable", unreachableRetryMillis);
+            }
+            else {
+                endWith("rejected", unreachableRetryMillis);
+            }
+            return;
+        }
+    };
+
+    const logResend = (placed: Placed, detail: string, tookMillis: number) => {
+        const nowMillis = monotonicMillis();
+        const instances = parts.members.live(nowMillis).length + 1;
+        parts.log.info("resend", {
+            requestId: request.id,
+            route: route.name,
+            server: placed.tracked.server.id,
+            detail,
+            tookMillis: Math.round(tookMillis),
+            sends,
+            budgetLeft: parts.retryBudget.left(service.name, instances, nowMillis),
+            leftMillis: Math.round(deadlineMillis - nowMillis)
+        }, "sending the request to another backend server");
+    };
+
+    serve().catch((error: unknown) => {
+        parts.log.error("fault", { requestId: request.id, error: String(error) }, "serving a request went wrong");
+        endWith(mayHaveRun ? "internal" : "unreachable");
+    });
+
+    return { result, abandon: () => end({ kind: "abandoned" }) };
+}
--- /dev/null
+++ b/packages/endivebridge-gateway/src/ServerConnections.ts
@@ -0,0 +1,60 @@
+import { monotonicMillis } from "@endivebridge/shared";
+import { Agent, type ClientRequest } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+
+/**
+ * Connections that have been idle for longer are not used again: the server may have forgotten them, and a new one
+ * costs a round trip.
+ */
+const mostIdleMillis = 1_500;
+/** First probe of an idle or silent connection by the kernel. */
+const keepAliveProbeMillis = 1_000;
+
+const idleSince = new WeakMap<Duplex, number>();
+
+function destroyOnUnexpectedBytes(this: Socket): void {
+    this.destroy();
+}
+
+/**
+ * Connections to one backend server. Bytes on an idle connection belong to no request, so they end it; a connection is
+ * used again only while it is fresh.
+ */
+export class ServerConnections extends Agent {
+    constructor(maximumConnections: number) {
+        super({
+            keepAlive: true,
+            keepAliveMsecs: keepAliveProbeMillis,
+            maxSockets: maximumConnections,
+            maxFreeSockets: maximumConnections,
+            scheduling: "lifo"
+        });
+    }
+
+    /** Ends connections that have been idle for too long. */
+    dropStale(nowMillis: number): void {
+        for (const sockets of Object.values(this.freeSockets)) {
+            for (const socket of [...sockets ?? []]) {
+                if (nowMillis - (idleSince.get(socket) ?? 0) > mostIdleMillis) {
+                    socket.destroy();
+                }
+            }
+        }
+    }
+
+    override keepSocketAlive(socket: Duplex): boolean {
+        // The base class reads the server's Keep-Alive header; its types do not show what it returns.
+        const keeps = super.keepSocketAlive(socket) as unknown as boolean;
+        if (keeps) {
+            idleSince.set(socket, monotonicMillis());
+            socket.on("data", destroyOnUnexpectedBytes);
+        }
+        return keeps;
+    }
+
+    override reuseSocket(socket: Duplex, request: ClientRequest): void {
+        socket.off("data", destroyOnUnexpectedBytes);
+        super.reuseSocket(socket, request);
+    }
+}
--- /dev/null
+++ b/packages/endivebridge-traffic/src/Members.ts
@@ -0,0 +1,104 @@
+/** How an instance can be reached and where it runs. */
+export interface MemberRecord {
+    readonly name: string;
+    readonly host: string;
+    readonly peerPort: number;
+    /** host:port at which callers reach it. */
+    readonly callerAddress: string;
+    readonly failureDomain: string;
+    readonly region: string;
+}
+
+/** What an instance says of itself in each message to its peers. */
+export interface MemberReport {
+    readonly record: MemberRecord;
+    /** Drawn at each start; tells one life of a process from the next. */
+    readonly incarnation: string;
+    readonly sequence: number;
+    /** Whether it takes new requests. */
+    readonly isReady: boolean;
+    /** Requests in flight by backend server id; servers without any are left out. */
+    readonly inFlight: Readonly<Record<string, number>>;
+}
+
+interface Member {
+    record: MemberRecord;
+    incarnation: string;
+    sequence: number;
+    isReady: boolean;
+    heardAtMillis: number | undefined;
+    inFlight: Readonly<Record<string, number>>;
+}
+
+/** The other instances, as far as this one knows. */
+export interface Members {
+    /** Takes in an address; the member counts as live only once it is heard. */
+    readonly introduce: (record: MemberRecord) => void;
+    /** Takes in a report; false where a newer one of the same life came before. */
+    readonly hear: (report: MemberReport, nowMillis: number) => boolean;
+    readonly known: () => readonly MemberRecord[];
+    /** Members that were heard lately and take requests. */
+    readonly ready: (nowMillis: number) => readonly MemberRecord[];
+    /** Members heard lately, ready or not. */
+    readonly live: (nowMillis: number) => readonly MemberRecord[];
+    /** Sum of requests in flight by backend server, over members heard lately. */
+    readonly inFlight: (nowMillis: number) => ReadonlyMap<string, number>;
+}
+
+/** Makes an empty list; `liveMillis` is how long a member counts as live after it was last heard. */
+export function makeMembers(ownName: string, liveMillis: (record: MemberRecord) => number): Members {
+    const members = new Map<string, Member>();
+
+    const isLive = (member: Member, nowMillis: number): boolean =>
+        member.heardAtMillis !== undefined && nowMillis - member.heardAtMillis <= liveMillis(member.record);
+
+    const records = (keep: (member: Member) => boolean): readonly MemberRecord[] =>
+        [...members.values()].filter(keep).map(member => member.record);
+
+    return {
+        introduce: record => {
+            if (record.name === ownName) {
+                return;
+            }
+            const member = members.get(record.name);
+            if (member === undefined) {
+                members.set(record.name, {
+                    record,
+                    incarnation: "",
+                    sequence: -1,
+                    isReady: false,
+                    heardAtMillis: undefined,
+                    inFlight: {}
+                });
+            }
+            else if (member.heardAtMillis === undefined) {
+                member.record = record;
+            }
+        },
+        hear: ({ record, incarnation, sequence, isReady, inFlight }, nowMillis) => {
+            if (record.name === ownName) {
+                return false;
+            }
+            const member = members.get(record.name);
+            if (member !== undefined && member.incarnation === incarnation && member.sequence >= sequence) {
+                return false;
+            }
+            members.set(record.name, { record, incarnation, sequence, isReady, heardAtMillis: nowMillis, inFlight });
+            return true;
+        },
+        known: () => records(() => true),
+        ready: nowMillis => records(member => member.isReady && isLive(member, nowMillis)),
+        live: nowMillis => records(member => isLive(member, nowMillis)),
+        inFlight: nowMillis => {
+            const sums = new Map<string, number>();
+            for (const member of members.values()) {
+                if (isLive(member, nowMillis)) {
+                    for (const [server, count] of Object.entries(member.inFlight)) {
+                        sums.set(server, (sums.get(server) ?? 0) + count);
+                    }
+                }
+            }
+            return sums;
+        }
+    };
+}
--- /dev/null
+++ b/packages/endivebridge-traffic/src/SlidingCount.ts
@@ -0,0 +1,42 @@
+/** Counts events over a sliding window. */
+export interface SlidingCount {
+    readonly add: (nowMillis: number, count?: number) => void;
+    readonly total: (nowMillis: number) => number;
+}
+
+const buckets = 20;
+
+/** Makes a count whose window slides in twentieths; events leave it at most one step late, never early. */
+export function makeSlidingCount(windowMillis: number): SlidingCount {
+    const stepMillis = windowMillis / buckets;
+    const counts = new Float64Array(buckets + 1);
+    let head = 0;
+    let sum = 0;
+
+    const advance = (nowMillis: number) => {
+        const step = Math.floor(nowMillis / stepMillis);
+        if (step - head > buckets) {
+            counts.fill(0);
+            sum = 0;
+            head = step;
+        }
+        while (head < step) {
+            head += 1;
+            const index = head % (buckets + 1);
+            sum -= counts[index]!;
+            counts[index] = 0;
+        }
+    };
+
+    return {
+        add: (nowMillis, count = 1) => {
+            advance(nowMillis);
+            counts[head % (buckets + 1)]! += count;
+            sum += count;
+        },
+        total: nowMillis => {
+            advance(nowMillis);
+            return sum;
+        }
+    };
+}
--- /dev/null
+++ b/packages/endivebridge-traffic/src/SplitChoice.ts
@@ -0,0 +1,47 @@
+import type { Route } from "./Configuration";
+
+/** Distributes each route's requests among its services. */
+export interface SplitChoice {
+    readonly choose: (route: Route) => string;
+}
+
+/**
+ * Smooth weighted round robin: after any number of requests each service's share is within one request of its weight.
+ * The start is drawn once a route, so that many instances do not begin with the same service.
+ */
+export function makeSplitChoice(random: () => number): SplitChoice {
+    const credits = new Map<string, Map<string, number>>();
+
+    const creditsOf = (route: Route): Map<string, number> => {
+        const known = credits.get(route.name);
+        if (known !== undefined) {
+            return known;
+        }
+        const fresh = new Map(route.targets.map(target => [target.service, random() * target.weight]));
+        credits.set(route.name, fresh);
+        return fresh;
+    };
+
+    return {
+        choose: route => {
+            if (route.targets.length === 1) {
+                return route.targets[0]!.service;
+            }
+            const routeCredits = creditsOf(route);
+            let total = 0;
+            let best = route.targets[0]!.service;
+            let bestCredit = -Infinity;
+            for (const { service, weight } of route.targets) {
+                const credit = (routeCredits.get(service) ?? 0) + weight;
+                routeCredits.set(service, credit);
+                total += weight;
+                if (credit > bestCredit) {
+                    best = service;
+                    bestCredit = credit;
+                }
+            }
+            routeCredits.set(best, bestCredit - total);
+            return best;
+        }
+    };
+}
--- /dev/null
+++ b/packages/endivebridge-traffic/src/index.ts
@@ -0,0 +1,21 @@
+export { type ColdLimit, makeColdLimit } from "./ColdLimit";
+export type { CallerLimits, Route, RouteTarget, Service, TrafficConfiguration } from "./Configuration";
+export { hashText, mixHashes } from "./Hash";
+export { makeMembers, type MemberRecord, type MemberReport, type Members } from "./Members";
+export {
+    currentSlowness,
+    makePlacement,
+    type Placed,
+    type Placement,
+    type PlacementRequest,
+    type PlacementView,
+    type Unplaced
+} from "./Placement";
+export { makeRetryBudget, type RetryBudget, type RetryBudgetLimits } from "./RetryBudget";
+export { makeRouteTable, type RouteTable } from "./RouteTable";
+export { type BackendServer, makeServerPool, type ServerPool, type TrackedServer } from "./ServerPool";
+export { makeShiftLimit, type ShiftLimit } from "./ShiftLimit";
+export { makeSlidingCount, type SlidingCount } from "./SlidingCount";
+export { makeSplitChoice, type SplitChoice } from "./SplitChoice";
+export { makeWaitingRoom, type RefusalReason, type Waiter, type WaitingRoom } from "./WaitingRoom";
+export { makeWorkEstimates, type WorkEstimates } from "./WorkEstimates";
