A request at a server when its time is up is answered 504, not 503

Ruled out: sheds and lost answers, whose paths set the flag. Change: the timer asks the send under way whether it may have left.

--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -158,6 +158,7 @@
             configurationVersion: routed?.configurationVersion,
             tookMillis: Math.round(tookMillis),
             patienceMillis: request.patienceMillis,
+            affinityKey: request.affinityKey,
             outcome,
             ...result.kind === "answered" ? { status: result.answer.status, server: result.server } : {},
             ...result.kind === "own"
--- a/packages/endivebridge-gateway/src/Exchange.ts
+++ b/packages/endivebridge-gateway/src/Exchange.ts
@@ -41,6 +41,8 @@
 /** A send under way. */
 export interface Exchange {
     readonly outcome: Promise<ExchangeOutcome>;
+    /** Whether the request may have left this instance. */
+    readonly mayHaveRun: () => boolean;
     /** Closes the connection; the server drops the request. */
     readonly cancel: () => void;
 }
@@ -149,6 +151,7 @@
 
     return {
         outcome,
+        mayHaveRun: () => wasSent,
         cancel: () => {
             finish({ kind: "cancelled", mayHaveRun: wasSent });
             request.destroy();
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -113,7 +113,7 @@
     const endWith = (answer: FinalAnswerKind, retryAfterMillis?: number) =>
         end({ kind: "own", answer, retryAfterMillis });
     const deadlineTimer = setTimeout(
-        () => endWith(mayHaveRun ? "timedOut" : "timedOutBeforeRun"),
+        () => endWith(mayHaveRun || exchange?.mayHaveRun() === true ? "timedOut" : "timedOutBeforeRun"),
         Math.max(0, deadlineMillis - monotonicMillis())
     );
 
@@ -340,7 +340,7 @@
 
     serve().catch((error: unknown) => {
         parts.log.error("fault", { requestId: request.id, error: String(error) }, "serving a request went wrong");
-        endWith(mayHaveRun ? "internal" : "unreachable");
+        endWith("internal");
     });
 
     return { result, abandon: () => end({ kind: "abandoned" }) };
