Keys keep to few servers, and move whole between regions

Ruled out: too few slots (9 of 16 needed when warm). Change: set factors by rank, widening only after a wait; shares of keys at home in other regions, moved at a bounded slope; longer-lived connections to other regions.

--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -49,7 +49,10 @@
     let openRequests = 0;
     let heldBytes = 0;
 
-    const readBody = (message: IncomingMessage, limitBytes: number): Promise<Buffer | "too large" | "gone" | "full"> => {
+    const readBody = (
+        message: IncomingMessage,
+        limitBytes: number
+    ): Promise<Buffer | "too large" | "gone" | "full"> => {
         if (message.headers["content-length"] === undefined && message.headers["transfer-encoding"] === undefined) {
             message.resume();
             return Promise.resolve(Buffer.alloc(0));
@@ -156,11 +159,11 @@
             route: routeName,
             service: routed?.service.name,
             configurationVersion: routed?.configurationVersion,
-            tookMillis: Math.round(tookMillis),
+            totalMillis: Math.round(tookMillis),
             patienceMillis: request.patienceMillis,
             affinityKey: request.affinityKey,
             outcome,
-            ...result.kind === "answered" ? { status: result.answer.status, server: result.server } : {},
+            ...result.kind === "answered" ? { status: result.answer.status, ...result.send } : {},
             ...result.kind === "own"
                 ? { status: finalAnswers[result.answer].status, retryAfterMillis: result.retryAfterMillis }
                 : {}
--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -4,15 +4,16 @@
     type BackendServer,
     makeMembers,
     makePlacement,
+    makeRegionBalance,
     makeRetryBudget,
     makeRouteTable,
     makeServerPool,
-    makeShiftLimit,
     makeSplitChoice,
     makeWaitingRoom,
     makeWorkEstimates,
     type MemberRecord,
     type RetryBudgetLimits,
+    type TrackedServer,
     type TrafficConfiguration
 } from "@endivebridge/traffic";
 import { randomBytes } from "node:crypto";
@@ -30,6 +31,7 @@
     readonly own: MemberRecord;
     readonly callerHost: string;
     readonly callerPort: number;
+    readonly regionOfDomain: ReadonlyMap<string, string>;
     readonly seeds: readonly { readonly host: string; readonly port: number; }[];
     readonly retryBudget: RetryBudgetLimits;
     /** Most of a region's requests that may change the region they are served in within two seconds. */
@@ -53,8 +55,20 @@
     readonly stop: () => Promise<void>;
 }
 
-/** Part of the permitted slope that is used, since instances do not all see the same share of requests. */
-const shiftSafety = 0.6;
+/** Part of the permitted change that planned shares use; instances do not all see the same requests. */
+const shiftSafety = 0.5;
+/** Part of the permitted change that is left to requests which find no room where they belong. */
+const exceptionSafety = 0.25;
+/** A new connection inside the region costs about a millisecond, so that idle ones need not be trusted for long. */
+const mostIdleMillis = 2_000;
+/** A new connection to another region costs a round trip of about a tenth of a second. */
+const mostIdleRemoteMillis = 6_000;
+/** Regions are compared this often. */
+const balanceTurnMillis = 200;
+/** Weight of the newest look at how busy servers are: about a second of memory. */
+const newestUseWeight = 0.25;
+/** Part of the share that callers and servers of a region suggest before anything is measured. */
+const firstShareFactor = 0.8;
 /** Those who wait are looked at this often, besides each time that a slot is freed. */
 const waitingTurnMillis = 25;
 /** First guess of the round trip to another region; connections measure it. */
@@ -80,7 +94,10 @@
     const waitingRoom = makeWaitingRoom();
     const retryBudget = makeRetryBudget(settings.retryBudget);
     const splitChoice = makeSplitChoice(Math.random);
-    const shift = makeShiftLimit(settings.shiftShareInTwoSeconds / 2 * shiftSafety);
+    const balance = makeRegionBalance(
+        settings.shiftShareInTwoSeconds / 2 * shiftSafety,
+        settings.shiftShareInTwoSeconds * exceptionSafety
+    );
     const evacuated = new Set<string>();
     const connections = new Map<string, ServerConnections>();
     let inForce: ConfigurationInForce | undefined;
@@ -108,13 +125,17 @@
         roundTripMillis: () => otherRegionRoundTripMillis,
         coldSharers,
         estimates,
-        shift
+        balance,
+        random: Math.random
     });
 
-    const connectionsTo = (id: string, serviceName: string): ServerConnections => {
+    const connectionsTo = ({ id, service: serviceName, region }: BackendServer): ServerConnections => {
         let known = connections.get(id);
         if (known === undefined) {
-            known = new ServerConnections(service(serviceName)?.maximumConnections ?? 1);
+            known = new ServerConnections(
+                service(serviceName)?.maximumConnections ?? 1,
+                region === own.region ? mostIdleMillis : mostIdleRemoteMillis
+            );
             connections.set(id, known);
         }
         return known;
@@ -135,7 +156,7 @@
                 estimates,
                 poison,
                 members,
-                connectionsOf: placed => connectionsTo(placed.tracked.server.id, placed.tracked.server.service),
+                connectionsOf: placed => connectionsTo(placed.tracked.server),
                 log,
                 metrics
             }, routed),
@@ -158,12 +179,54 @@
         return counts;
     };
 
+    const serviceNames = (): readonly string[] => [...inForce?.configuration.services.keys() ?? []];
+
+    const awayShares = (): Record<string, number> => {
+        const entries = serviceNames().map(name =>
+            [name, Math.round(balance.awayShare(name) * 1_000) / 1_000] as const
+        );
+        return Object.fromEntries(entries.filter(([, share]) => share > 0));
+    };
+
+    const uses = new Map<string, number>();
+
+    const balanceRegions = () => {
+        const nowMillis = monotonicMillis();
+        for (const name of serviceNames()) {
+            const load = regionLoads(
+                pool.ofService(name).filter(tracked =>
+                    !tracked.server.isLeaving && !evacuated.has(tracked.server.failureDomain)
+                )
+            );
+            const ownLoad = load.get(own.region) ?? { slots: 0, inFlight: 0 };
+            ownLoad.inFlight += waitingRoom.waiting(name)
+                * (members.live(nowMillis).filter(member => member.region === own.region).length + 1);
+            let others: number | undefined;
+            for (const [region, { slots, inFlight }] of load) {
+                const key = `${name} ${region}`;
+                const use = inFlight / slots;
+                const smooth = (uses.get(key) ?? use) * (1 - newestUseWeight) + use * newestUseWeight;
+                uses.set(key, smooth);
+                if (region !== own.region) {
+                    others = Math.min(others ?? Infinity, smooth);
+                }
+            }
+            const peersShare = members.meanAwayShare(own.region, name, nowMillis);
+            if (load.size > 0) {
+                balance.begin(name, peersShare ?? firstAwayShare(settings.regionOfDomain, own.region, load));
+            }
+            const ownUse = uses.get(`${name} ${own.region}`) ?? 0;
+            balance.adjust(name, { own: ownUse, others }, peersShare, nowMillis);
+        }
+    };
+    const balanceTimer = setInterval(balanceRegions, balanceTurnMillis);
+
     const peers = startPeerExchange({
         own,
         incarnation: randomBytes(6).toString("base64url"),
         members,
         seeds: settings.seeds,
-        describeSelf: () => ({ isReady: isReady(), inFlight: ownInFlight() }),
+        describeSelf: () => ({ isReady: isReady(), inFlight: ownInFlight(), awayShares: awayShares() }),
         crashes: () => poison.quarantined(monotonicMillis()),
         onReport: () => {
             const sums = members.inFlight(monotonicMillis());
@@ -214,7 +277,11 @@
             const known = pool.get(backendServer.id)?.server;
             pool.upsert(backendServer, monotonicMillis());
             if (known === undefined || known.isLeaving !== backendServer.isLeaving) {
-                log.info("server", { ...backendServer }, backendServer.isLeaving ? "server is leaving" : "server known");
+                log.info(
+                    "server",
+                    { ...backendServer },
+                    backendServer.isLeaving ? "server is leaving" : "server known"
+                );
             }
             waitingRoom.serve(backendServer.service, monotonicMillis());
         },
@@ -262,6 +329,7 @@
                     if (isLate || isIdle) {
                         clearInterval(timer);
                         clearInterval(waitingTimer);
+                        clearInterval(balanceTimer);
                         clearInterval(omittedTimer);
                         log.info("stop", { openRequests: openRequests(), elapsedMillis }, "stopped");
                         peers.close();
@@ -272,3 +340,35 @@
         }
     };
 }
+
+interface RegionLoad {
+    slots: number;
+    inFlight: number;
+}
+
+function regionLoads(servers: readonly TrackedServer[]): Map<string, RegionLoad> {
+    const loads = new Map<string, RegionLoad>();
+    for (const { server, ownInFlight, peersInFlight } of servers) {
+        const load = loads.get(server.region) ?? { slots: 0, inFlight: 0 };
+        load.slots += server.slots;
+        load.inFlight += ownInFlight + peersInFlight;
+        loads.set(server.region, load);
+    }
+    return loads;
+}
+
+/**
+ * Share that would even out the regions if all failure domains had as many callers. It is corrected as soon as load is
+ * measured.
+ */
+function firstAwayShare(
+    regionOfDomain: ReadonlyMap<string, string>,
+    ownRegion: string,
+    loads: ReadonlyMap<string, RegionLoad>
+): number {
+    const regions = [...regionOfDomain.values()];
+    const callerShare = regions.filter(region => region === ownRegion).length / Math.max(1, regions.length);
+    const allSlots = [...loads.values()].reduce((sum, load) => sum + load.slots, 0);
+    const slotShare = (loads.get(ownRegion)?.slots ?? 0) / Math.max(1, allSlots);
+    return callerShare > 0 ? Math.max(0, 1 - slotShare / callerShare) * firstShareFactor : 0;
+}
--- a/packages/endivebridge-gateway/src/PeerExchange.ts
+++ b/packages/endivebridge-gateway/src/PeerExchange.ts
@@ -20,6 +20,7 @@
     sequence: number,
     isReady: boolean,
     inFlight: record(string, number),
+    awayShares: record(string, number),
     /** Other instances that the sender knows. */
     members: optional(array(MemberRecordCodec)),
     /** Requests under which backend servers crashed. */
@@ -36,7 +37,7 @@
     readonly members: Members;
     /** Where to look for instances that are not known yet. */
     readonly seeds: readonly { readonly host: string; readonly port: number; }[];
-    readonly describeSelf: () => Pick<MemberReport, "isReady" | "inFlight">;
+    readonly describeSelf: () => Pick<MemberReport, "isReady" | "inFlight" | "awayShares">;
     readonly crashes: () => readonly StruckRequest[];
     readonly onReport: (report: MemberReport) => void;
     readonly onCrashes: (crashes: readonly StruckRequest[]) => void;
@@ -99,12 +100,14 @@
     const message = (withMembers: boolean): Buffer => {
         sequence += 1;
         const crashes = parts.crashes().slice(-mostCrashesInMessage);
+        const { isReady, inFlight, awayShares } = parts.describeSelf();
         const content: PeerMessage = {
             record: parts.own,
             incarnation: parts.incarnation,
             sequence,
-            ...parts.describeSelf(),
-            inFlight: { ...parts.describeSelf().inFlight },
+            isReady,
+            inFlight: { ...inFlight },
+            awayShares: { ...awayShares },
             members: withMembers ? [...parts.members.known()].slice(0, mostMembersInMessage) : undefined,
             crashes: crashes.length > 0 ? crashes.map(crash => ({ ...crash, servers: [...crash.servers] })) : undefined
         };
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -32,10 +32,21 @@
 
 /** How a request ended. */
 export type RequestResult =
-    | { readonly kind: "answered"; readonly answer: ServerAnswer; readonly server: string; }
+    | { readonly kind: "answered"; readonly answer: ServerAnswer; readonly send: LastSend; }
     | { readonly kind: "own"; readonly answer: FinalAnswerKind; readonly retryAfterMillis: number | undefined; }
     | { readonly kind: "abandoned"; };
 
+/** The send whose answer a caller gets, and what it was chosen by. */
+export interface LastSend {
+    readonly server: string;
+    readonly rank: number;
+    readonly isRemote: boolean;
+    readonly expectedMillis: number;
+    readonly waitedMillis: number;
+    readonly tookMillis: number;
+    readonly sends: number;
+}
+
 /** A request being served. */
 export interface RunningRequest {
     readonly result: Promise<RequestResult>;
@@ -119,6 +130,7 @@
 
     const place = (isNew: boolean): Promise<PlacedOrNot> =>
         new Promise(resolve => {
+            const waitingSinceMillis = monotonicMillis();
             let isFirstLook = isNew;
             let reason: RefusalReason | undefined;
             const finish = (found: PlacedOrNot) => {
@@ -135,8 +147,9 @@
                 priority: route.priority,
                 giveUpAtMillis: Math.min(arrivedMillis + waitMillis, deadlineMillis),
                 tryPlace: nowMillis => {
+                    const waitedShare = (nowMillis - waitingSinceMillis) / route.objectiveMillis;
                     const chosen = parts.placement.choose(
-                        { route, service: service.name, keyHash, triedServers, isNew: isFirstLook },
+                        { route, service: service.name, keyHash, triedServers, waitedShare, isNew: isFirstLook },
                         nowMillis
                     );
                     isFirstLook = false;
@@ -298,7 +311,20 @@
                     logResend(placed, `status ${outcome.answer.status}`, tookMillis);
                     continue;
                 }
-                end({ kind: "answered", answer: outcome.answer, server: placed.tracked.server.id });
+                const { rank, isRemote, expectedMillis } = placed;
+                end({
+                    kind: "answered",
+                    answer: outcome.answer,
+                    send: {
+                        server: placed.tracked.server.id,
+                        rank,
+                        isRemote,
+                        expectedMillis: Math.round(expectedMillis),
+                        waitedMillis: Math.round(sentMillis - arrivedMillis),
+                        tookMillis: Math.round(tookMillis),
+                        sends
+                    }
+                });
                 return;
             }
             const detail = outcome.kind === "answered" ? `not run, status ${outcome.answer.status}` : outcome.detail;
--- a/packages/endivebridge-gateway/src/ServerConnections.ts
+++ b/packages/endivebridge-gateway/src/ServerConnections.ts
@@ -3,11 +3,6 @@
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 
-/**
- * Connections that have been idle for longer are not used again: the server may have forgotten them, and a new one
- * costs a round trip.
- */
-const mostIdleMillis = 1_500;
 /** First probe of an idle or silent connection by the kernel. */
 const keepAliveProbeMillis = 1_000;
 
@@ -22,7 +17,10 @@
  * used again only while it is fresh.
  */
 export class ServerConnections extends Agent {
-    constructor(maximumConnections: number) {
+    readonly #mostIdleMillis: number;
+
+    /** Connections that were idle for longer are not used again: the server may have forgotten them. */
+    constructor(maximumConnections: number, mostIdleMillis: number) {
         super({
             keepAlive: true,
             keepAliveMsecs: keepAliveProbeMillis,
@@ -30,13 +28,14 @@
             maxFreeSockets: maximumConnections,
             scheduling: "lifo"
         });
+        this.#mostIdleMillis = mostIdleMillis;
     }
 
     /** Ends connections that have been idle for too long. */
     dropStale(nowMillis: number): void {
         for (const sockets of Object.values(this.freeSockets)) {
             for (const socket of [...sockets ?? []]) {
-                if (nowMillis - (idleSince.get(socket) ?? 0) > mostIdleMillis) {
+                if (nowMillis - (idleSince.get(socket) ?? 0) > this.#mostIdleMillis) {
                     socket.destroy();
                 }
             }
--- a/packages/endivebridge-traffic/src/Members.ts
+++ b/packages/endivebridge-traffic/src/Members.ts
@@ -19,6 +19,8 @@
     readonly isReady: boolean;
     /** Requests in flight by backend server id; servers without any are left out. */
     readonly inFlight: Readonly<Record<string, number>>;
+    /** Share of each service's requests that it takes to belong to other regions. */
+    readonly awayShares: Readonly<Record<string, number>>;
 }
 
 interface Member {
@@ -28,6 +30,7 @@
     isReady: boolean;
     heardAtMillis: number | undefined;
     inFlight: Readonly<Record<string, number>>;
+    awayShares: Readonly<Record<string, number>>;
 }
 
 /** The other instances, as far as this one knows. */
@@ -43,6 +46,8 @@
     readonly live: (nowMillis: number) => readonly MemberRecord[];
     /** Sum of requests in flight by backend server, over members heard lately. */
     readonly inFlight: (nowMillis: number) => ReadonlyMap<string, number>;
+    /** Mean share of a service's requests that the region's live members carry away; undefined without any. */
+    readonly meanAwayShare: (region: string, service: string, nowMillis: number) => number | undefined;
 }
 
 /** Makes an empty list; `liveMillis` is how long a member counts as live after it was last heard. */
@@ -68,14 +73,16 @@
                     sequence: -1,
                     isReady: false,
                     heardAtMillis: undefined,
-                    inFlight: {}
+                    inFlight: {},
+                    awayShares: {}
                 });
             }
             else if (member.heardAtMillis === undefined) {
                 member.record = record;
             }
         },
-        hear: ({ record, incarnation, sequence, isReady, inFlight }, nowMillis) => {
+        hear: (report, nowMillis) => {
+            const { record, incarnation, sequence } = report;
             if (record.name === ownName) {
                 return false;
             }
@@ -83,7 +90,7 @@
             if (member !== undefined && member.incarnation === incarnation && member.sequence >= sequence) {
                 return false;
             }
-            members.set(record.name, { record, incarnation, sequence, isReady, heardAtMillis: nowMillis, inFlight });
+            members.set(record.name, { ...report, heardAtMillis: nowMillis });
             return true;
         },
         known: () => records(() => true),
@@ -99,6 +106,18 @@
                 }
             }
             return sums;
+        },
+        meanAwayShare: (region, service, nowMillis) => {
+            let sum = 0;
+            let count = 0;
+            for (const member of members.values()) {
+                const share = member.awayShares[service];
+                if (share !== undefined && member.record.region === region && isLive(member, nowMillis)) {
+                    sum += share;
+                    count += 1;
+                }
+            }
+            return count === 0 ? undefined : sum / count;
         }
     };
 }
--- a/packages/endivebridge-traffic/src/Placement.ts
+++ b/packages/endivebridge-traffic/src/Placement.ts
@@ -1,7 +1,7 @@
 import type { Route, Service } from "./Configuration";
-import { mixHashes } from "./Hash";
+import { hashText, mixHashes } from "./Hash";
+import type { RegionBalance } from "./RegionBalance";
 import type { ServerPool, TrackedServer } from "./ServerPool";
-import type { ShiftLimit } from "./ShiftLimit";
 import { coldRank, type WorkEstimates } from "./WorkEstimates";
 
 /** A request that needs a backend server. */
@@ -12,6 +12,8 @@
     readonly keyHash: number | undefined;
     /** Servers that this request was already sent to. */
     readonly triedServers: ReadonlySet<string>;
+    /** How long the request has waited for a slot, as a share of its objective. */
+    readonly waitedShare: number;
     /** False once the request has been looked at, so that it counts once in the share that leaves the region. */
     readonly isNew: boolean;
 }
@@ -40,7 +42,9 @@
     /** Instances that share the rate of a cold server in the failure domain; 0 where this one may not use it. */
     readonly coldSharers: (failureDomain: string) => number;
     readonly estimates: WorkEstimates;
-    readonly shift: ShiftLimit;
+    readonly balance: RegionBalance;
+    /** A number from 0 up to 1; draws a place for requests without a key. */
+    readonly random: () => number;
 }
 
 /** Chooses backend servers. */
@@ -57,6 +61,20 @@
 /** Slots of a remote server that stay free for callers of its own region, whose news arrives late. */
 const remoteReservedSlots = 1;
 
+/** A failure domain with fewer servers of a service does not keep copies of all keys of its own. */
+const leastDomainServers = 4;
+/**
+ * A request waits this share of its objective for one of the servers that are most likely warm, then for one of the
+ * next: work elsewhere takes several times as long, and takes the slot from other keys as long.
+ */
+const widenAfterShares = [0, 0, 0.08, 0.08, 0.2];
+/** Draws which keys leave their region independently of the server that they go to. */
+const awaySalt = hashText("away");
+
+function unitOf(hash: number): number {
+    return (hash + 0.5) / 2 ** 32;
+}
+
 /** Slowness as far as it can still be relied on. */
 export function currentSlowness(tracked: TrackedServer, nowMillis: number): number {
     const ageMillis = Math.max(0, nowMillis - tracked.slownessAtMillis);
@@ -108,11 +126,11 @@
         return workMillis * (1 + 2 * tracked.failureShare + 0.1 * busyShare) + distanceMillis;
     };
 
-    /** The cheapest server with room among those of one failure domain. */
+    /** The cheapest server with room among those that share one rendezvous order. */
     const cheapest = (
         request: PlacementRequest,
         servers: readonly TrackedServer[],
-        isRemote: boolean,
+        isException: boolean,
         nowMillis: number
     ): Placed | undefined => {
         // Ranks count all servers, also busy ones: a key's order must not change with load.
@@ -129,7 +147,8 @@
         }
         let best: Placed | undefined;
         for (const tracked of servers) {
-            if (!isUsable(tracked, request, nowMillis) || !hasRoom(tracked, isRemote)) {
+            const isRemote = tracked.server.region !== view.region;
+            if (!isUsable(tracked, request, nowMillis) || !hasRoom(tracked, isRemote && isException)) {
                 continue;
             }
             if (tracked.coldUntilMillis > nowMillis && (isRemote || !canWarmUp(tracked, nowMillis))) {
@@ -137,6 +156,9 @@
             }
             const found = request.keyHash === undefined ? 0 : top.findIndex(other => other.tracked === tracked);
             const rank = found < 0 ? coldRank : found;
+            if (widenAfterShares[rank]! > request.waitedShare) {
+                continue;
+            }
             const expectedMillis = costMillis(request, tracked, rank, nowMillis);
             if (best === undefined || expectedMillis < best.expectedMillis) {
                 best = { tracked, rank, isRemote, expectedMillis };
@@ -145,15 +167,32 @@
         return best;
     };
 
-    const cheapestOf = (
+    /** A large failure domain keeps a warm copy of each key of its own; small ones share theirs with the region. */
+    const orders = (servers: readonly TrackedServer[]): readonly (readonly TrackedServer[])[] => {
+        const domains = new Map<string, TrackedServer[]>();
+        for (const tracked of servers) {
+            const { failureDomain } = tracked.server;
+            const known = domains.get(failureDomain);
+            if (known === undefined) {
+                domains.set(failureDomain, [tracked]);
+            }
+            else {
+                known.push(tracked);
+            }
+        }
+        const sizes = [...domains.values()].map(domain => domain.length);
+        return Math.min(...sizes) >= leastDomainServers ? [...domains.values()] : [servers];
+    };
+
+    const cheapestIn = (
         request: PlacementRequest,
-        domains: ReadonlyMap<string, readonly TrackedServer[]>,
-        isRemote: boolean,
+        servers: readonly TrackedServer[],
+        isException: boolean,
         nowMillis: number
     ): Placed | undefined => {
         let best: Placed | undefined;
-        for (const servers of domains.values()) {
-            const placed = cheapest(request, servers, isRemote, nowMillis);
+        for (const order of servers.length === 0 ? [] : orders(servers)) {
+            const placed = cheapest(request, order, isException, nowMillis);
             if (placed !== undefined && (best === undefined || placed.expectedMillis < best.expectedMillis)) {
                 best = placed;
             }
@@ -161,42 +200,72 @@
         return best;
     };
 
+    /** The region that a request belongs to: mostly the own one, else one by its key, weighted by servers. */
+    const homeOf = (request: PlacementRequest, regions: ReadonlyMap<string, readonly TrackedServer[]>): string => {
+        const { keyHash } = request;
+        const draw = keyHash === undefined ? view.random() : unitOf(mixHashes(keyHash, awaySalt));
+        if (regions.has(view.region) && draw >= view.balance.awayShare(request.service)) {
+            return view.region;
+        }
+        let best = view.region;
+        let bestWeight = Infinity;
+        for (const [region, servers] of regions) {
+            const regionDraw = keyHash === undefined
+                ? view.random()
+                : unitOf(mixHashes(keyHash, hashText(region)));
+            const weight = -Math.log(regionDraw) / servers.length;
+            if (region !== view.region && weight < bestWeight) {
+                best = region;
+                bestWeight = weight;
+            }
+        }
+        return best;
+    };
+
     return {
         choose: (request, nowMillis) => {
             const { homeRegions } = request.route;
-            const own = new Map<string, TrackedServer[]>();
-            const remote = new Map<string, TrackedServer[]>();
-            let hasUsableOwn = false;
+            const regions = new Map<string, TrackedServer[]>();
             let hasUsable = false;
             for (const tracked of view.pool.ofService(request.service)) {
-                const { region, failureDomain } = tracked.server;
-                if (homeRegions.length > 0 && !homeRegions.includes(region)) {
+                const { region } = tracked.server;
+                if (
+                    tracked.server.isLeaving
+                    || view.isEvacuated(tracked.server.failureDomain)
+                    || (homeRegions.length > 0 && !homeRegions.includes(region))
+                ) {
                     continue;
                 }
-                const domains = region === view.region ? own : remote;
-                const servers = domains.get(failureDomain);
+                const servers = regions.get(region);
                 if (servers === undefined) {
-                    domains.set(failureDomain, [tracked]);
+                    regions.set(region, [tracked]);
                 }
                 else {
                     servers.push(tracked);
                 }
-                const usable = isUsable(tracked, request, nowMillis);
-                hasUsable ||= usable;
-                hasUsableOwn ||= usable && region === view.region;
+                hasUsable ||= isUsable(tracked, request, nowMillis);
             }
             if (!hasUsable) {
                 return "no servers";
             }
-            const local = cheapestOf(request, own, false, nowMillis);
-            const away = local === undefined ? cheapestOf(request, remote, true, nowMillis) : undefined;
             if (request.isNew) {
-                view.shift.countRequest(away !== undefined, nowMillis);
+                view.balance.countRequest();
             }
-            if (local !== undefined) {
-                return local;
+            const home = homeOf(request, regions);
+            const placed = cheapestIn(request, regions.get(home) ?? [], false, nowMillis);
+            if (placed !== undefined) {
+                return placed;
+            }
+            let elsewhere: Placed | undefined;
+            for (const [region, servers] of regions) {
+                const found = region === home ? undefined : cheapestIn(request, servers, true, nowMillis);
+                if (
+                    found !== undefined && (elsewhere === undefined || found.expectedMillis < elsewhere.expectedMillis)
+                ) {
+                    elsewhere = found;
+                }
             }
-            return away !== undefined && (!hasUsableOwn || view.shift.tryLeave()) ? away : "all busy";
+            return elsewhere !== undefined && view.balance.tryExcept() ? elsewhere : "all busy";
         }
     };
 }
--- a/packages/endivebridge-traffic/src/WorkEstimates.ts
+++ b/packages/endivebridge-traffic/src/WorkEstimates.ts
@@ -7,38 +7,38 @@
     readonly learn: (route: Route, rank: number, workMillis: number) => void;
 }
 
-/** Servers from this rank on count as equally unlikely to be warm. */
+/** Servers from this rank on are equally unlikely to be warm. */
 export const coldRank = 4;
 
+/**
+ * Work at each rank relative to the first. These are set, not learned: a key that is spread over more servers pushes
+ * other keys out of their memory, which no measurement of its own requests shows, and learned factors would even out
+ * while everything goes cold.
+ */
+const rankFactors = [1, 1.5, 2.2, 2.8, 3.3];
+
 /** Weight of the newest measurement: about twenty answers of memory. */
 const newestWeight = 0.05;
 /** Before anything is measured a request is taken to need this share of its objective. */
-const initialObjectiveShare = 0.5;
-/** Before anything is measured, each rank is taken to be slower than the one before by this factor. */
-const initialRankFactor = 1.25;
+const initialObjectiveShare = 0.4;
 
 /** Makes estimates that know nothing but the routes' objectives. */
 export function makeWorkEstimates(): WorkEstimates {
-    const measured = new Map<string, number[]>();
+    const warmMillis = new Map<string, number>();
 
-    const estimatesOf = (route: Route): number[] => {
-        let estimates = measured.get(route.name);
-        if (estimates === undefined) {
-            const first = route.objectiveMillis * initialObjectiveShare;
-            estimates = Array.from({ length: coldRank + 1 }, (_, rank) => first * initialRankFactor ** rank);
-            measured.set(route.name, estimates);
-        }
-        return estimates;
-    };
+    const warmOf = (route: Route): number =>
+        warmMillis.get(route.name) ?? route.objectiveMillis * initialObjectiveShare;
+    const factorOf = (rank: number): number => rankFactors[Math.min(rank, coldRank)]!;
 
     return {
-        estimateMillis: (route, rank) => estimatesOf(route)[Math.min(rank, coldRank)]!,
+        estimateMillis: (route, rank) => warmOf(route) * factorOf(rank),
         learn: (route, rank, workMillis) => {
-            const estimates = estimatesOf(route);
-            const index = Math.min(rank, coldRank);
+            if (rank > 0) {
+                return;
+            }
+            const warm = warmOf(route);
             // One straggler must not outweigh many usual answers.
-            const bounded = Math.min(workMillis, estimates[index]! * 3);
-            estimates[index]! += newestWeight * (bounded - estimates[index]!);
+            warmMillis.set(route.name, warm + newestWeight * (Math.min(workMillis, warm * 3) - warm));
         }
     };
 }
--- a/packages/endivebridge-traffic/src/index.ts
+++ b/packages/endivebridge-traffic/src/index.ts
@@ -11,10 +11,10 @@
     type PlacementView,
     type Unplaced
 } from "./Placement";
+export { makeRegionBalance, type RegionBalance, type ServiceUse } from "./RegionBalance";
 export { makeRetryBudget, type RetryBudget, type RetryBudgetLimits } from "./RetryBudget";
 export { makeRouteTable, type RouteTable } from "./RouteTable";
 export { type BackendServer, makeServerPool, type ServerPool, type TrackedServer } from "./ServerPool";
-export { makeShiftLimit, type ShiftLimit } from "./ShiftLimit";
 export { makeSlidingCount, type SlidingCount } from "./SlidingCount";
 export { makeSplitChoice, type SplitChoice } from "./SplitChoice";
 export { makeWaitingRoom, type RefusalReason, type Waiter, type WaitingRoom } from "./WaitingRoom";
