--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/generated/**", "**/node_modules/**"] },
+    { ignores: ["**/dist/**", "**/target/**", "**/generated/**", "**/node_modules/**"] },
     ...tseslint.configs.recommended,
     {
         files: ["**/*.ts"],
