Under load keys stay on their first servers; unframed answers stay unframed

Change: a request waits a share of its objective before a server further down will do; ranks count usable servers only; regions exchange work only where the other is clearly less busy. Unframed answers end with the connection, as they came.

--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -118,8 +118,16 @@
             answer.rest.pipe(response);
             return;
         }
-        const length = method === "HEAD" ? answer.headers["content-length"] : String(answer.body.length);
         const hasBody = answer.status !== 204 && answer.status !== 304;
+        if (!answer.isFramed && hasBody && method !== "HEAD") {
+            // It ends with the connection here as it did there: a length of our own would make a cut one look whole.
+            response.useChunkedEncodingByDefault = false;
+            response.shouldKeepAlive = false;
+            response.writeHead(answer.status, flat);
+            response.end(answer.body);
+            return;
+        }
+        const length = method === "HEAD" ? answer.headers["content-length"] : String(answer.body.length);
         response.writeHead(answer.status, hasBody && length !== undefined ? [...flat, "Content-Length", length] : flat);
         response.end(hasBody ? answer.body : undefined);
     };
--- a/packages/endivebridge-gateway/src/Exchange.ts
+++ b/packages/endivebridge-gateway/src/Exchange.ts
@@ -36,6 +36,8 @@
     readonly rest: IncomingMessage | undefined;
     readonly isNotExecuted: boolean;
     readonly isSigned: boolean;
+    /** Whether the answer's length was declared; without it a cut one cannot be told from a whole one. */
+    readonly isFramed: boolean;
 }
 
 /** A send under way. */
@@ -123,7 +125,8 @@
             body: Buffer.concat(chunks),
             rest,
             isNotExecuted,
-            isSigned: headers[dialect.signatureHeader] !== undefined
+            isSigned: headers[dialect.signatureHeader] !== undefined,
+            isFramed: headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined
         });
         const onData = (chunk: Buffer) => {
             chunks.push(chunk);
--- a/packages/endivebridge-traffic/src/Placement.ts
+++ b/packages/endivebridge-traffic/src/Placement.ts
@@ -64,10 +64,11 @@
 /** A failure domain with fewer servers of a service does not keep copies of all keys of its own. */
 const leastDomainServers = 4;
 /**
- * A request waits this share of its objective for one of the servers that are most likely warm, then for one of the
- * next: work elsewhere takes several times as long, and takes the slot from other keys as long.
+ * A request waits this share of its objective before a server of that rank will do. Work where a key is not warm takes
+ * several times as long, and pushes out what others rely on: under load, spreading makes every server cold, and the
+ * load stays for that reason alone.
  */
-const widenAfterShares = [0, 0, 0.08, 0.08, 0.2];
+const widenAfterShares = [0, 0.05, 0.3, 0.3, 0.6];
 /** Draws which keys leave their region independently of the server that they go to. */
 const awaySalt = hashText("away");
 
@@ -133,10 +134,13 @@
         isException: boolean,
         nowMillis: number
     ): Placed | undefined => {
-        // Ranks count all servers, also busy ones: a key's order must not change with load.
+        // Ranks count busy servers too: a key's order must not change with load.
         const top: Candidate[] = [];
         if (request.keyHash !== undefined) {
             for (const tracked of servers) {
+                if (!isUsable(tracked, request, nowMillis)) {
+                    continue;
+                }
                 const weight = mixHashes(tracked.hash, request.keyHash);
                 if (top.length < coldRank || weight > top[top.length - 1]!.weight) {
                     const position = top.findIndex(other => other.weight < weight);
--- a/packages/endivebridge-traffic/src/RegionBalance.ts
+++ b/packages/endivebridge-traffic/src/RegionBalance.ts
@@ -23,7 +23,9 @@
 /** Above this use requests begin to wait for each other. */
 const busyUse = 0.7;
 /** The other region must be less busy by this much, so that two regions do not exchange their work. */
-const leastDifference = 0.1;
+const leastDifference = 0.2;
+/** A region that is busier than this helps no other. */
+const mostUseOfHelper = 0.75;
 /** Part of the difference to the peers' share that is closed a second. */
 const agreementPerSecond = 0.5;
 /** Requests that may leave their place beyond the planned share, at once. */
@@ -53,7 +55,7 @@
             const elapsedSeconds = Math.min(1, (nowMillis - (state.atMillis ?? nowMillis)) / 1_000);
             state.atMillis = nowMillis;
             const others = use.others ?? Infinity;
-            const wantsMore = use.own > busyUse && use.own > others + leastDifference;
+            const wantsMore = use.own > busyUse && use.own > others + leastDifference && others < mostUseOfHelper;
             const wantsLess = use.own < comfortableUse || use.own + leastDifference < others;
             const wanted = wantsMore ? stepPerSecond : wantsLess ? -stepPerSecond : 0;
             const towardsPeers = peersShare === undefined ? 0 : (peersShare - state.share) * agreementPerSecond;
