Waiting: a free slot goes to whoever fits it, in-time requests first

Change: arrivals are placed at once where a slot is free; waiters are ordered by whether they can be in time, then rank.

--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -198,9 +198,6 @@
                     !tracked.server.isLeaving && !evacuated.has(tracked.server.failureDomain)
                 )
             );
-            const ownLoad = load.get(own.region) ?? { slots: 0, inFlight: 0 };
-            ownLoad.inFlight += waitingRoom.waiting(name)
-                * (members.live(nowMillis).filter(member => member.region === own.region).length + 1);
             let others: number | undefined;
             for (const [region, { slots, inFlight }] of load) {
                 const key = `${name} ${region}`;
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -68,8 +68,6 @@
     readonly metrics: GatewayMetrics;
 }
 
-/** A request is refused at this share of its objective where nothing is known of how long its work takes. */
-const leastWaitShare = 0.125;
 /** A connection that is not there by then is given up; servers accept within milliseconds. */
 const connectTimeoutMillis = 400;
 /** Beyond the length of the way to another region. */
@@ -137,15 +135,12 @@
                 stopWaiting = undefined;
                 resolve(found);
             };
-            const expectedMillis = parts.estimates.estimateMillis(route, 1);
-            const waitMillis = Math.max(
-                route.objectiveMillis * leastWaitShare,
-                route.objectiveMillis - expectedMillis
-            );
+            const expectedMillis = parts.estimates.estimateMillis(route, 0);
             const waiter: Waiter = {
                 service: service.name,
                 priority: route.priority,
-                giveUpAtMillis: Math.min(arrivedMillis + waitMillis, deadlineMillis),
+                inTimeUntilMillis: arrivedMillis + route.objectiveMillis - expectedMillis,
+                giveUpAtMillis: deadlineMillis - expectedMillis,
                 tryPlace: nowMillis => {
                     const waitedShare = (nowMillis - waitingSinceMillis) / route.objectiveMillis;
                     const chosen = parts.placement.choose(
--- a/packages/endivebridge-traffic/src/WaitingRoom.ts
+++ b/packages/endivebridge-traffic/src/WaitingRoom.ts
@@ -8,7 +8,9 @@
     readonly service: string;
     /** Rank of its kind; 0 is the most urgent. */
     readonly priority: number;
-    /** Until when an answer is worth waiting for; later the request is refused. */
+    /** Sent off until then, its answer still comes within its objective. */
+    readonly inTimeUntilMillis: number;
+    /** Sent off later, its answer no longer reaches its caller at all. */
     readonly giveUpAtMillis: number;
     /** Tries to send the request off; true when it left. */
     readonly tryPlace: (nowMillis: number) => boolean;
@@ -26,7 +28,6 @@
     readonly serve: (service: string, nowMillis: number) => void;
     readonly serveAll: (nowMillis: number) => void;
     readonly waiting: (service: string) => number;
-    readonly forecastMillis: (service: string, priority: number, nowMillis: number) => number;
 }
 
 interface Line {
@@ -36,15 +37,17 @@
 
 /** Over which the rate of placements is taken for the forecast. */
 const rateWindowMillis = 2_000;
-/** Looked at on each free slot; those behind them have other servers to wait for only rarely. */
-const mostLooks = 24;
+/** Looked at on each free slot; bounds the time that a long line costs. */
+const mostLooks = 64;
 /** Shortest and longest time that a refused caller is asked to stay away. */
 const leastRetryAfterMillis = 100;
 const mostRetryAfterMillis = 2_000;
 
 /**
- * Makes an empty room. The load it answers: more requests than slots, for seconds. Order is by rank, then by who must
- * leave first; a request is refused at once when those before it will take all slots until it must leave.
+ * Makes an empty room. The load it answers: more requests than slots, for seconds. Those who can still be answered in
+ * time go before those who cannot, since a slot given to a late request makes one more late; among each, the more
+ * urgent kind first, then who has least time. Who can no longer be reached in time by the line before it is refused at
+ * once.
  */
 export function makeWaitingRoom(): WaitingRoom {
     const lines = new Map<string, Line>();
@@ -58,18 +61,27 @@
         return line;
     };
 
-    const isBefore = (left: Waiter, right: Waiter): boolean =>
-        left.priority !== right.priority
+    const isBefore = (left: Waiter, right: Waiter, nowMillis: number): boolean => {
+        const leftIsLate = left.inTimeUntilMillis < nowMillis;
+        const rightIsLate = right.inTimeUntilMillis < nowMillis;
+        if (leftIsLate !== rightIsLate) {
+            return rightIsLate;
+        }
+        return left.priority !== right.priority
             ? left.priority < right.priority
-            : left.giveUpAtMillis < right.giveUpAtMillis;
+            : left.inTimeUntilMillis < right.inTimeUntilMillis;
+    };
 
     const forecast = (line: Line, ahead: number, nowMillis: number): number => {
         const perMillis = line.placed.total(nowMillis) / rateWindowMillis;
         return perMillis > 0 ? (ahead + 1) / perMillis : 0;
     };
 
-    const retryAfter = (line: Line, ahead: number, nowMillis: number): number =>
-        Math.max(leastRetryAfterMillis, Math.min(mostRetryAfterMillis, forecast(line, ahead, nowMillis)));
+    const retryAfter = (line: Line, nowMillis: number): number =>
+        Math.max(
+            leastRetryAfterMillis,
+            Math.min(mostRetryAfterMillis, forecast(line, line.waiters.length, nowMillis))
+        );
 
     const place = (line: Line, waiter: Waiter, nowMillis: number): boolean => {
         const left = waiter.tryPlace(nowMillis);
@@ -79,14 +91,12 @@
         return left;
     };
 
-    const refuseExpired = (line: Line, nowMillis: number) => {
-        for (let index = line.waiters.length - 1; index >= 0; index -= 1) {
-            const waiter = line.waiters[index]!;
-            if (waiter.giveUpAtMillis <= nowMillis) {
-                line.waiters.splice(index, 1);
-                waiter.refuse("waited too long", retryAfter(line, index, nowMillis));
-            }
+    const remove = (line: Line, waiter: Waiter): boolean => {
+        const index = line.waiters.indexOf(waiter);
+        if (index >= 0) {
+            line.waiters.splice(index, 1);
         }
+        return index >= 0;
     };
 
     const serve = (service: string, nowMillis: number) => {
@@ -94,36 +104,41 @@
         if (line === undefined || line.waiters.length === 0) {
             return;
         }
-        refuseExpired(line, nowMillis);
+        line.waiters.sort((left, right) => isBefore(left, right, nowMillis) ? -1 : 1);
         for (const waiter of line.waiters.slice(0, mostLooks)) {
             if (place(line, waiter, nowMillis)) {
-                line.waiters.splice(line.waiters.indexOf(waiter), 1);
+                remove(line, waiter);
             }
         }
+        // Those who became late stand behind all others now; the line before them may be too long.
+        line.waiters.filter((waiter, index) =>
+            waiter.giveUpAtMillis <= nowMillis
+            || (waiter.inTimeUntilMillis < nowMillis
+                && nowMillis + forecast(line, index, nowMillis) > waiter.giveUpAtMillis)
+        ).forEach(waiter => {
+            if (remove(line, waiter)) {
+                waiter.refuse("waited too long", retryAfter(line, nowMillis));
+            }
+        });
     };
 
     return {
         enter: (waiter, nowMillis) => {
             const line = lineOf(waiter.service);
-            const position = line.waiters.findIndex(other => isBefore(waiter, other));
-            const ahead = position < 0 ? line.waiters.length : position;
-            // Who waits already goes first where it is as urgent.
-            if (ahead === 0 && place(line, waiter, nowMillis)) {
+            // Whoever waits was offered every slot that became free, so one that is free now is nobody else's.
+            if (place(line, waiter, nowMillis)) {
                 return;
             }
-            const waitMillis = forecast(line, ahead, nowMillis);
-            if (nowMillis + waitMillis > waiter.giveUpAtMillis) {
-                waiter.refuse("overloaded", retryAfter(line, ahead, nowMillis));
+            const position = line.waiters.findIndex(other => isBefore(waiter, other, nowMillis));
+            const ahead = position < 0 ? line.waiters.length : position;
+            if (nowMillis + forecast(line, ahead, nowMillis) > waiter.giveUpAtMillis) {
+                waiter.refuse("overloaded", retryAfter(line, nowMillis));
                 return;
             }
             line.waiters.splice(ahead, 0, waiter);
         },
         leave: waiter => {
-            const line = lineOf(waiter.service);
-            const index = line.waiters.indexOf(waiter);
-            if (index >= 0) {
-                line.waiters.splice(index, 1);
-            }
+            remove(lineOf(waiter.service), waiter);
         },
         serve,
         serveAll: nowMillis => {
@@ -131,11 +146,6 @@
                 serve(service, nowMillis);
             }
         },
-        waiting: service => lines.get(service)?.waiters.length ?? 0,
-        forecastMillis: (service, priority, nowMillis) => {
-            const line = lineOf(service);
-            const ahead = line.waiters.filter(waiter => waiter.priority <= priority).length;
-            return forecast(line, ahead, nowMillis);
-        }
+        waiting: service => lines.get(service)?.waiters.length ?? 0
     };
 }
