A key runs on its first two servers only

Cause: rank 2 and beyond run cold (330 ms against 110 ms) and evict other keys; with waits they were reached often. Change: the second server after a quarter of the objective, further ones only where the first cannot be used.

--- a/packages/endivebridge-traffic/src/Placement.ts
+++ b/packages/endivebridge-traffic/src/Placement.ts
@@ -68,7 +68,7 @@
  * several times as long, and pushes out what others rely on: under load, spreading makes every server cold, and the
  * load stays for that reason alone.
  */
-const widenAfterShares = [0, 0.05, 0.3, 0.3, 0.6];
+const widenAfterShares = [0, 0.25, Infinity, Infinity, Infinity];
 /** Draws which keys leave their region independently of the server that they go to. */
 const awaySalt = hashText("away");
 
