--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -48,6 +48,10 @@
     readonly dropServer: (id: string, reason: string) => void;
     readonly serverIds: () => readonly string[];
     readonly setEvacuated: (failureDomain: string, isEvacuated: boolean) => void;
+    /** Notes that the platform's store was lost, or answers. */
+    readonly setStoreLost: (isLost: boolean) => void;
+    /** Whether a live member has had the store for at least so long. */
+    readonly someMemberHadStore: (millis: number) => boolean;
     readonly introduceMember: (record: MemberRecord) => void;
     readonly isReady: () => boolean;
     readonly directory: Directory;
@@ -102,6 +106,7 @@
     const connections = new Map<string, ServerConnections>();
     let inForce: ConfigurationInForce | undefined;
     let stoppingSinceMillis: number | undefined;
+    let hasStoreSinceMillis: number | undefined;
 
     const service = (name: string) => inForce?.configuration.services.get(name);
 
@@ -188,6 +193,9 @@
         return Object.fromEntries(entries.filter(([, share]) => share > 0));
     };
 
+    const hasStoreMillis = (): number | undefined =>
+        hasStoreSinceMillis === undefined ? undefined : Math.round(monotonicMillis() - hasStoreSinceMillis);
+
     const uses = new Map<string, number>();
 
     const balanceRegions = () => {
@@ -223,7 +231,12 @@
         incarnation: randomBytes(6).toString("base64url"),
         members,
         seeds: settings.seeds,
-        describeSelf: () => ({ isReady: isReady(), inFlight: ownInFlight(), awayShares: awayShares() }),
+        describeSelf: () => ({
+            isReady: isReady(),
+            inFlight: ownInFlight(),
+            awayShares: awayShares(),
+            hasStoreMillis: hasStoreMillis()
+        }),
         crashes: () => poison.quarantined(monotonicMillis()),
         onReport: () => {
             const sums = members.inFlight(monotonicMillis());
@@ -309,6 +322,10 @@
             }
             log.info("evacuation", { failureDomain, isEvacuated }, "evacuation changed");
         },
+        setStoreLost: isLost => {
+            hasStoreSinceMillis = isLost ? undefined : hasStoreSinceMillis ?? monotonicMillis();
+        },
+        someMemberHadStore: millis => members.someHadStore(millis, monotonicMillis()),
         introduceMember: members.introduce,
         isReady,
         directory: makeDirectory(own, isReady, members),
--- a/packages/endivebridge-gateway/src/PeerExchange.ts
+++ b/packages/endivebridge-gateway/src/PeerExchange.ts
@@ -21,6 +21,7 @@
     isReady: boolean,
     inFlight: record(string, number),
     awayShares: record(string, number),
+    hasStoreMillis: optional(number),
     /** Other instances that the sender knows. */
     members: optional(array(MemberRecordCodec)),
     /** Requests under which backend servers crashed. */
@@ -37,7 +38,7 @@
     readonly members: Members;
     /** Where to look for instances that are not known yet. */
     readonly seeds: readonly { readonly host: string; readonly port: number; }[];
-    readonly describeSelf: () => Pick<MemberReport, "isReady" | "inFlight" | "awayShares">;
+    readonly describeSelf: () => Pick<MemberReport, "isReady" | "inFlight" | "awayShares" | "hasStoreMillis">;
     readonly crashes: () => readonly StruckRequest[];
     readonly onReport: (report: MemberReport) => void;
     readonly onCrashes: (crashes: readonly StruckRequest[]) => void;
@@ -87,10 +88,11 @@
             return;
         }
         const nowMillis = monotonicMillis();
-        const isNews = parts.members.hear(message, nowMillis);
+        const report: MemberReport = { ...message, hasStoreMillis: message.hasStoreMillis };
+        const isNews = parts.members.hear(report, nowMillis);
         message.members?.forEach(parts.members.introduce);
         if (isNews) {
-            parts.onReport(message);
+            parts.onReport(report);
         }
         if (message.crashes !== undefined && message.crashes.length > 0) {
             parts.onCrashes(message.crashes);
@@ -100,7 +102,7 @@
     const message = (withMembers: boolean): Buffer => {
         sequence += 1;
         const crashes = parts.crashes().slice(-mostCrashesInMessage);
-        const { isReady, inFlight, awayShares } = parts.describeSelf();
+        const { isReady, inFlight, awayShares, hasStoreMillis } = parts.describeSelf();
         const content: PeerMessage = {
             record: parts.own,
             incarnation: parts.incarnation,
@@ -108,6 +110,7 @@
             isReady,
             inFlight: { ...inFlight },
             awayShares: { ...awayShares },
+            hasStoreMillis,
             members: withMembers ? [...parts.members.known()].slice(0, mostMembersInMessage) : undefined,
             crashes: crashes.length > 0 ? crashes.map(crash => ({ ...crash, servers: [...crash.servers] })) : undefined
         };
--- a/packages/endivebridge-traffic/src/Members.ts
+++ b/packages/endivebridge-traffic/src/Members.ts
@@ -21,6 +21,8 @@
     readonly inFlight: Readonly<Record<string, number>>;
     /** Share of each service's requests that it takes to belong to other regions. */
     readonly awayShares: Readonly<Record<string, number>>;
+    /** How long it has had the platform's store without a break; undefined while it has lost it. */
+    readonly hasStoreMillis: number | undefined;
 }
 
 interface Member {
@@ -31,6 +33,7 @@
     heardAtMillis: number | undefined;
     inFlight: Readonly<Record<string, number>>;
     awayShares: Readonly<Record<string, number>>;
+    hasStoreMillis: number | undefined;
 }
 
 /** The other instances, as far as this one knows. */
@@ -46,6 +49,8 @@
     readonly live: (nowMillis: number) => readonly MemberRecord[];
     /** Sum of requests in flight by backend server, over members heard lately. */
     readonly inFlight: (nowMillis: number) => ReadonlyMap<string, number>;
+    /** Whether a live member has had the platform's store for at least so long. */
+    readonly someHadStore: (millis: number, nowMillis: number) => boolean;
     /** Mean share of a service's requests that the region's live members carry away; undefined without any. */
     readonly meanAwayShare: (region: string, service: string, nowMillis: number) => number | undefined;
 }
@@ -74,7 +79,8 @@
                     isReady: false,
                     heardAtMillis: undefined,
                     inFlight: {},
-                    awayShares: {}
+                    awayShares: {},
+                    hasStoreMillis: undefined
                 });
             }
             else if (member.heardAtMillis === undefined) {
@@ -107,6 +113,8 @@
             }
             return sums;
         },
+        someHadStore: (millis, nowMillis) =>
+            [...members.values()].some(member => isLive(member, nowMillis) && (member.hasStoreMillis ?? -1) >= millis),
         meanAwayShare: (region, service, nowMillis) => {
             let sum = 0;
             let count = 0;
--- a/packages/endivebridge-traffic/src/RegionBalance.ts
+++ b/packages/endivebridge-traffic/src/RegionBalance.ts
@@ -18,19 +18,21 @@
     readonly countRequest: () => void;
 }
 
-/** Below this use of the own servers nothing has to be carried away. */
-const comfortableUse = 0.5;
-/** Above this use requests begin to wait for each other. */
-const busyUse = 0.7;
+/** Use of the own servers up to which nothing has to be carried away: requests hardly wait for each other. */
+const comfortableUse = 0.7;
 /** The other region must be less busy by this much, so that two regions do not exchange their work. */
-const leastDifference = 0.2;
-/** A region that is busier than this helps no other. */
-const mostUseOfHelper = 0.75;
+const leastDifference = 0.15;
+/** Distance from the wanted use at which a share moves as fast as it may. */
+const fullSpeedDistance = 0.2;
 /** Part of the difference to the peers' share that is closed a second. */
 const agreementPerSecond = 0.5;
 /** Requests that may leave their place beyond the planned share, at once. */
 const mostExceptions = 2;
 
+function bounded(value: number, most: number): number {
+    return Math.max(-most, Math.min(most, value));
+}
+
 /**
  * Makes the balance of one instance. The load it answers: a region with far fewer servers than its callers need, for
  * hours. Whole keys move, so that each stays warm on few servers; shares move slowly enough that a region's traffic
@@ -54,12 +56,10 @@
             }
             const elapsedSeconds = Math.min(1, (nowMillis - (state.atMillis ?? nowMillis)) / 1_000);
             state.atMillis = nowMillis;
-            const others = use.others ?? Infinity;
-            const wantsMore = use.own > busyUse && use.own > others + leastDifference && others < mostUseOfHelper;
-            const wantsLess = use.own < comfortableUse || use.own + leastDifference < others;
-            const wanted = wantsMore ? stepPerSecond : wantsLess ? -stepPerSecond : 0;
+            const wantedUse = Math.max(comfortableUse, (use.others ?? Infinity) + leastDifference);
+            const wanted = stepPerSecond * bounded((use.own - wantedUse) / fullSpeedDistance, 1);
             const towardsPeers = peersShare === undefined ? 0 : (peersShare - state.share) * agreementPerSecond;
-            const slope = Math.max(-stepPerSecond, Math.min(stepPerSecond, wanted + towardsPeers));
+            const slope = bounded(wanted + towardsPeers, stepPerSecond);
             state.share = Math.max(0, Math.min(1, state.share + slope * elapsedSeconds));
         },
         countRequest: () => {
