Tests of the traffic decisions; the forecast measures only while somebody waits

Cause: the test of a burst after a quiet time (and of an urgent kind at the start) failed: the forecast took the few placements of quiet seconds for the most that the servers can do, and refused what four free slots would have served. Change: the rate counts from when the line began; before 150 ms of it nothing is refused by forecast. Figures: 22 tests; the two named failed before.

--- a/packages/endivebridge-traffic/src/WaitingRoom.ts
+++ b/packages/endivebridge-traffic/src/WaitingRoom.ts
@@ -32,11 +32,15 @@
 
 interface Line {
     readonly waiters: Waiter[];
-    readonly placed: SlidingCount;
+    placed: SlidingCount;
+    /** Since when somebody has waited; the rate of placements tells of the slots only while they are short. */
+    busySinceMillis: number | undefined;
 }
 
 /** Over which the rate of placements is taken for the forecast. */
 const rateWindowMillis = 2_000;
+/** Before somebody has waited for so long nothing is known of how fast the line moves. */
+const leastBusyMillis = 150;
 /** Looked at on each free slot; bounds the time that a long line costs. */
 const mostLooks = 64;
 /** Shortest and longest time that a refused caller is asked to stay away. */
@@ -55,7 +59,7 @@
     const lineOf = (service: string): Line => {
         let line = lines.get(service);
         if (line === undefined) {
-            line = { waiters: [], placed: makeSlidingCount(rateWindowMillis) };
+            line = { waiters: [], placed: makeSlidingCount(rateWindowMillis), busySinceMillis: undefined };
             lines.set(service, line);
         }
         return line;
@@ -73,8 +77,19 @@
     };
 
     const forecast = (line: Line, ahead: number, nowMillis: number): number => {
-        const perMillis = line.placed.total(nowMillis) / rateWindowMillis;
-        return perMillis > 0 ? (ahead + 1) / perMillis : 0;
+        const busyMillis = Math.min(rateWindowMillis, nowMillis - (line.busySinceMillis ?? nowMillis));
+        const placed = Math.max(1, line.placed.total(nowMillis));
+        return busyMillis < leastBusyMillis ? 0 : (ahead + 1) * busyMillis / placed;
+    };
+
+    const noteLength = (line: Line, nowMillis: number) => {
+        if (line.waiters.length === 0) {
+            line.busySinceMillis = undefined;
+        }
+        else if (line.busySinceMillis === undefined) {
+            line.busySinceMillis = nowMillis;
+            line.placed = makeSlidingCount(rateWindowMillis);
+        }
     };
 
     const retryAfter = (line: Line, nowMillis: number): number =>
@@ -120,6 +135,7 @@
                 waiter.refuse("waited too long", retryAfter(line, nowMillis));
             }
         });
+        noteLength(line, nowMillis);
     };
 
     return {
@@ -136,6 +152,7 @@
                 return;
             }
             line.waiters.splice(ahead, 0, waiter);
+            noteLength(line, nowMillis);
         },
         leave: waiter => {
             remove(lineOf(waiter.service), waiter);
--- /dev/null
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Placement.test.ts
@@ -0,0 +1,137 @@
+import { range } from "@endivebridge/shared";
+import test from "ava";
+import fc from "fast-check";
+import { hashText, type Placed, type PlacementRequest, type Unplaced } from "../../index";
+import { makePlacementSample, route } from "./Samples";
+
+const request = (changes: Partial<PlacementRequest> = {}): PlacementRequest => ({
+    route: route({}),
+    service: "desk",
+    keyHash: hashText("grave-7"),
+    triedServers: new Set(),
+    waitedShare: 0,
+    isNew: true,
+    ...changes
+});
+
+function idOf(chosen: Placed | Unplaced): string {
+    return typeof chosen === "string" ? chosen : chosen.tracked.server.id;
+}
+
+const sixServers = range(6).map(index => ({ id: `s${index}` }));
+
+test("every instance sends a key to the same server while it has room", t => {
+    const here = makePlacementSample(sixServers);
+    const there = makePlacementSample([...sixServers].reverse());
+    for (const key of range(50)) {
+        const keyHash = hashText(`key-${key}`);
+        t.is(idOf(here.placement.choose(request({ keyHash }), 0)), idOf(there.placement.choose(request({ keyHash }), 0)));
+    }
+});
+
+test("a busy first server is waited for before the key warms up a second one", t => {
+    const { pool, placement } = makePlacementSample(sixServers);
+    const first = idOf(placement.choose(request(), 0));
+    pool.get(first)!.peersInFlight = 4;
+    t.is(placement.choose(request({ isNew: false }), 0), "all busy");
+    const second = placement.choose(request({ waitedShare: 0.3, isNew: false }), 0) as Placed;
+    t.is(second.rank, 1);
+});
+
+test("under load a key never spreads beyond its first two servers", t => {
+    const { pool, placement } = makePlacementSample(sixServers);
+    const used = new Set<string>();
+    for (let step = 0; step < 12; step += 1) {
+        const chosen = placement.choose(request({ waitedShare: 1, isNew: false }), 0);
+        if (typeof chosen !== "string") {
+            chosen.tracked.ownInFlight += 1;
+            used.add(idOf(chosen));
+        }
+    }
+    t.is(used.size, 2);
+    t.true([...pool.all()].every(tracked => tracked.ownInFlight <= tracked.server.slots));
+});
+
+test("a first server that cannot be used is replaced at once", t => {
+    const { pool, placement } = makePlacementSample(sixServers);
+    const first = idOf(placement.choose(request(), 0));
+    pool.get(first)!.avoidUntilMillis = 1_000;
+    const next = placement.choose(request(), 0) as Placed;
+    t.not(idOf(next), first);
+    t.is(next.rank, 0);
+});
+
+test("no server is sent more than its slots, whatever the load", t => {
+    t.notThrows(() => fc.assert(fc.property(
+        fc.array(fc.tuple(fc.nat({ max: 30 }), fc.double({ min: 0, max: 1, noNaN: true })), { maxLength: 200 }),
+        loads => {
+            const { pool, placement } = makePlacementSample(sixServers);
+            for (const [key, waitedShare] of loads) {
+                const chosen = placement.choose(request({ keyHash: hashText(`k${key}`), waitedShare }), 0);
+                if (typeof chosen !== "string") {
+                    chosen.tracked.ownInFlight += 1;
+                }
+            }
+            return [...pool.all()].every(tracked => tracked.ownInFlight <= tracked.server.slots);
+        }
+    )));
+});
+
+test("leaving and evacuated servers get nothing", t => {
+    const { pool, placement, evacuated } = makePlacementSample([
+        { id: "s1" },
+        { id: "s2", failureDomain: "fraser-b" },
+        { id: "s3", isLeaving: true }
+    ]);
+    evacuated.add("fraser-b");
+    for (const key of range(20)) {
+        t.is(idOf(placement.choose(request({ keyHash: hashText(`k${key}`) }), 0)), "s1");
+    }
+    pool.remove("s1");
+    t.is(placement.choose(request(), 0), "no servers");
+});
+
+test("a route with homes never leaves them", t => {
+    const { balance, placement } = makePlacementSample([
+        { id: "s1" },
+        { id: "far", region: "kootenay", failureDomain: "kootenay-a" }
+    ]);
+    balance.begin("desk", 1);
+    const atHome = route({ homeRegions: ["fraser"] });
+    for (const key of range(20)) {
+        t.is(idOf(placement.choose(request({ route: atHome, keyHash: hashText(`k${key}`) }), 0)), "s1");
+    }
+});
+
+test("the share of keys that leave the region is the one that the balance says", t => {
+    const { balance, placement } = makePlacementSample([
+        { id: "s1", slots: 100 },
+        { id: "far", region: "kootenay", failureDomain: "kootenay-a", slots: 100 }
+    ]);
+    balance.begin("desk", 0.4);
+    const away = range(1_000).filter(key => {
+        const chosen = placement.choose(request({ keyHash: hashText(`key ${key}`) }), 0) as Placed;
+        return chosen.isRemote;
+    });
+    t.true(Math.abs(away.length - 400) < 60, `${away.length} of 1000`);
+});
+
+test("a cold server takes no more than this instance's part of its rate, and none from other regions", t => {
+    const { placement } = makePlacementSample([{ id: "s1", coldLeftMillis: 10_000, slots: 100 }]);
+    let taken = 0;
+    for (let nowMillis = 0; nowMillis <= 3_000; nowMillis += 10) {
+        const chosen = placement.choose(request(), nowMillis);
+        if (typeof chosen !== "string") {
+            chosen.tracked.coldLimit.take();
+            taken += 1;
+        }
+    }
+    t.true(taken <= 30 && taken >= 25, `${taken} in three seconds at ten a second`);
+    const remote = makePlacementSample([{
+        id: "far",
+        region: "kootenay",
+        failureDomain: "kootenay-a",
+        coldLeftMillis: 10_000
+    }]);
+    t.is(remote.placement.choose(request(), 5_000), "all busy");
+});
--- /dev/null
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Samples.ts
@@ -0,0 +1,96 @@
+import {
+    type BackendServer,
+    makePlacement,
+    makeRegionBalance,
+    makeServerPool,
+    makeWorkEstimates,
+    type Placement,
+    type PlacementView,
+    type RegionBalance,
+    type Route,
+    type ServerPool,
+    type Service
+} from "../../index";
+
+/** A route with usual values. */
+export function route(changes: Partial<Route>): Route {
+    return {
+        name: "orders",
+        host: "a.example",
+        pathPrefix: "/",
+        isIdempotent: true,
+        timeoutMillis: 2_000,
+        objectiveMillis: 400,
+        priority: 1,
+        targets: [{ service: "desk", weight: 1 }],
+        maximumAttempts: 2,
+        hasAffinity: true,
+        homeRegions: [],
+        ...changes
+    };
+}
+
+/** A backend server with usual values. */
+export function server(changes: Partial<BackendServer>): BackendServer {
+    return {
+        id: "s1",
+        service: "desk",
+        host: "10.0.0.1",
+        port: 80,
+        failureDomain: "fraser-a",
+        region: "fraser",
+        slots: 4,
+        isLeaving: false,
+        coldLeftMillis: 0,
+        bornEpochMillis: 0,
+        ...changes
+    };
+}
+
+/** A pool of one server. */
+export function makeServer(changes: Partial<BackendServer>): { readonly pool: ServerPool; } {
+    const pool = makeServerPool();
+    pool.upsert(server(changes), 0);
+    return { pool };
+}
+
+const desk: Service = {
+    name: "desk",
+    healthPath: "/health",
+    maximumConnections: 100,
+    coldStartMillis: 3_000,
+    coldRequestsPerSecond: 10
+};
+
+/** A placement of an instance in fraser-a with its parts. */
+export interface PlacementSample {
+    readonly pool: ServerPool;
+    readonly balance: RegionBalance;
+    readonly placement: Placement;
+    readonly evacuated: Set<string>;
+}
+
+/** Makes a placement over the given servers. */
+export function makePlacementSample(
+    servers: readonly Partial<BackendServer>[],
+    changes: Partial<PlacementView> = {}
+): PlacementSample {
+    const pool = makeServerPool();
+    servers.forEach(changed => pool.upsert(server(changed), 0));
+    const balance = makeRegionBalance(0.04, 0.04);
+    const evacuated = new Set<string>();
+    const placement = makePlacement({
+        failureDomain: "fraser-a",
+        region: "fraser",
+        pool,
+        service: () => desk,
+        isEvacuated: failureDomain => evacuated.has(failureDomain),
+        roundTripMillis: () => 110,
+        coldSharers: () => 1,
+        estimates: makeWorkEstimates(),
+        balance,
+        random: () => 0.5,
+        ...changes
+    });
+    return { pool, balance, placement, evacuated };
+}
--- /dev/null
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Traffic.test.ts
@@ -0,0 +1,151 @@
+import test from "ava";
+import fc from "fast-check";
+import {
+    makeColdLimit,
+    makeMembers,
+    makeRetryBudget,
+    makeRouteTable,
+    makeSplitChoice,
+    type MemberReport,
+    type Route
+} from "../../index";
+import { makeServer, route } from "./Samples";
+
+test("the longest prefix of the host decides, and hosts are not mixed up", t => {
+    const table = makeRouteTable([
+        route({ name: "root", host: "a.example", pathPrefix: "/" }),
+        route({ name: "deep", host: "a.example", pathPrefix: "/x/y/" }),
+        route({ name: "other", host: "b.example", pathPrefix: "/x/" })
+    ]);
+    t.is(table.match("a.example", "/x/y/z")?.name, "deep");
+    t.is(table.match("A.example", "/x/z")?.name, "root");
+    t.is(table.match("b.example", "/x/1")?.name, "other");
+    t.is(table.match("b.example", "/y/1"), undefined);
+    t.is(table.match("c.example", "/"), undefined);
+});
+
+test("a split keeps each share within one request of its weight, from any start", t => {
+    t.notThrows(() => fc.assert(fc.property(
+        fc.array(fc.integer({ min: 1, max: 90 }), { minLength: 2, maxLength: 4 }),
+        fc.integer({ min: 1, max: 400 }),
+        fc.double({ min: 0, max: 0.99, noNaN: true }),
+        (weights, requests, start) => {
+            const split: Route = route({ targets: weights.map((weight, index) => ({ service: `s${index}`, weight })) });
+            const choice = makeSplitChoice(() => start);
+            const counts = new Map<string, number>();
+            for (let index = 0; index < requests; index += 1) {
+                const service = choice.choose(split);
+                counts.set(service, (counts.get(service) ?? 0) + 1);
+            }
+            const total = weights.reduce((sum, weight) => sum + weight, 0);
+            return split.targets.every(({ service, weight }) =>
+                Math.abs((counts.get(service) ?? 0) - requests * weight / total) <= weights.length
+            );
+        }
+    )));
+});
+
+test("the retry budget of all instances together is never passed, in any sliding window", t => {
+    const limits = { ratio: 0.2, slack: 60, windowMillis: 10_000 };
+    t.notThrows(() => fc.assert(fc.property(
+        fc.integer({ min: 1, max: 12 }),
+        fc.array(fc.tuple(fc.nat({ max: 11 }), fc.nat({ max: 400 }), fc.boolean()), { maxLength: 600 }),
+        (instances, events) => {
+            const budgets = Array.from({ length: instances }, () => makeRetryBudget(limits));
+            const requests: number[] = [];
+            const spent: number[] = [];
+            let nowMillis = 0;
+            for (const [which, pauseMillis, isRetry] of events) {
+                nowMillis += pauseMillis;
+                const budget = budgets[which % instances]!;
+                if (!isRetry) {
+                    budget.countRequest("s", nowMillis);
+                    requests.push(nowMillis);
+                }
+                else if (budget.trySpend("s", instances, nowMillis)) {
+                    spent.push(nowMillis);
+                }
+            }
+            return spent.every(endMillis => {
+                const startMillis = endMillis - limits.windowMillis;
+                const inWindow = (times: readonly number[], from: number) =>
+                    times.filter(at => at > from && at <= endMillis).length;
+                // Requests of the window before count too, as they do where the budget is judged.
+                const counted = inWindow(requests, startMillis - limits.windowMillis);
+                return inWindow(spent, startMillis) <= limits.ratio * counted + limits.slack;
+            });
+        }
+    )));
+});
+
+test("all instances together keep a cold server under its rate in every second", t => {
+    const requestsPerSecond = 11;
+    t.notThrows(() => fc.assert(fc.property(fc.integer({ min: 1, max: 9 }), fc.array(fc.nat({ max: 8 }), { maxLength: 800 }), (sharers, which) => {
+        const limits = Array.from({ length: sharers }, () => makeColdLimit(0));
+        const taken: number[] = [];
+        which.forEach((index, step) => {
+            const nowMillis = step * 5;
+            const limit = limits[index % sharers]!;
+            if (limit.canTake(requestsPerSecond / sharers, nowMillis)) {
+                limit.take();
+                taken.push(nowMillis);
+            }
+        });
+        return taken.every(at =>
+            taken.filter(other => other > at - 1_000 && other <= at).length <= requestsPerSecond * 1.5 + 5
+        );
+    })));
+});
+
+const report = (name: string, changes: Partial<MemberReport>): MemberReport => ({
+    record: {
+        name,
+        host: "10.0.0.1",
+        peerPort: 1,
+        callerAddress: `${name}:1`,
+        failureDomain: "fraser-a",
+        region: "fraser"
+    },
+    incarnation: "first",
+    sequence: 1,
+    isReady: true,
+    inFlight: {},
+    awayShares: {},
+    hasStoreMillis: undefined,
+    ...changes
+});
+
+test("a member counts as live only while it is heard, and old reports of the same life are ignored", t => {
+    const members = makeMembers("self", () => 1_000);
+    members.introduce(report("a", {}).record);
+    t.deepEqual(members.live(0), [], "never heard");
+    t.true(members.hear(report("a", { sequence: 2, inFlight: { s1: 3 } }), 100));
+    t.false(members.hear(report("a", { sequence: 1, inFlight: { s1: 9 } }), 200));
+    t.is(members.inFlight(200).get("s1"), 3);
+    t.true(members.hear(report("a", { incarnation: "second", sequence: 0 }), 300));
+    t.is(members.inFlight(300).get("s1"), undefined);
+    t.deepEqual(members.ready(1_400), [], "silent for longer than it counts as live");
+    t.false(members.hear(report("self", {}), 0), "the own name is no member");
+});
+
+test("a store outage is the instance's own where a member has had the store for longer", t => {
+    const members = makeMembers("self", () => 1_000);
+    members.hear(report("a", { hasStoreMillis: 20_000 }), 0);
+    t.true(members.someHadStore(12_000, 10));
+    t.false(members.someHadStore(21_000, 10));
+    t.false(members.someHadStore(12_000, 2_000), "a member that is no longer heard vouches for nothing");
+});
+
+test("a new incarnation under a known id starts with nothing known of it", t => {
+    const { pool } = makeServer({ id: "s1", bornEpochMillis: 1 });
+    const first = pool.get("s1")!;
+    first.ownInFlight = 3;
+    first.slowness = 2;
+    pool.upsert({ ...first.server, isLeaving: true }, 10);
+    t.is(pool.get("s1"), first, "an update keeps what is known");
+    t.is(pool.get("s1")!.ownInFlight, 3);
+    pool.upsert({ ...first.server, bornEpochMillis: 2, isLeaving: false }, 20);
+    t.not(pool.get("s1"), first);
+    t.is(pool.get("s1")!.ownInFlight, 0);
+    t.is(pool.ofService("desk").length, 1);
+});
--- /dev/null
+++ b/packages/endivebridge-traffic/src/__tests__/unit/WaitingRoom.test.ts
@@ -0,0 +1,147 @@
+import test from "ava";
+import { makeRegionBalance, makeWaitingRoom, type Waiter } from "../../index";
+
+interface Outcome {
+    placedAtMillis?: number;
+    refusedAtMillis?: number;
+    retryAfterMillis?: number;
+}
+
+/** A service with a number of slots and a fixed work time, and requests that need any one of them. */
+function makeLoad(slots: number, workMillis: number) {
+    const room = makeWaitingRoom();
+    let free = slots;
+    let nowMillis = 0;
+    const ends: number[] = [];
+    const outcomes: Outcome[] = [];
+
+    const advance = (toMillis: number) => {
+        while (nowMillis < toMillis) {
+            nowMillis += 5;
+            while (ends.length > 0 && ends[0]! <= nowMillis) {
+                ends.shift();
+                free += 1;
+                room.serve("desk", nowMillis);
+            }
+            room.serveAll(nowMillis);
+        }
+    };
+    const send = (priority: number, objectiveMillis: number, deadlineMillis: number): Outcome => {
+        const outcome: Outcome = {};
+        const waiter: Waiter = {
+            service: "desk",
+            priority,
+            inTimeUntilMillis: nowMillis + objectiveMillis - workMillis,
+            giveUpAtMillis: nowMillis + deadlineMillis - workMillis,
+            tryPlace: at => {
+                if (free === 0) {
+                    return false;
+                }
+                free -= 1;
+                ends.push(at + workMillis);
+                outcome.placedAtMillis = at;
+                return true;
+            },
+            refuse: (_, retryAfterMillis) => {
+                outcome.refusedAtMillis = nowMillis;
+                outcome.retryAfterMillis = retryAfterMillis;
+            }
+        };
+        outcomes.push(outcome);
+        room.enter(waiter, nowMillis);
+        return outcome;
+    };
+    return { room, advance, send, outcomes, now: () => nowMillis };
+}
+
+test("at twice the load the slots stay busy and every request has one outcome", t => {
+    const load = makeLoad(4, 100);
+    for (let step = 0; step < 400; step += 1) {
+        load.send(step % 3, 400, 1_500);
+        load.advance(load.now() + 12);
+    }
+    load.advance(load.now() + 3_000);
+    const placed = load.outcomes.filter(outcome => outcome.placedAtMillis !== undefined);
+    const refused = load.outcomes.filter(outcome => outcome.refusedAtMillis !== undefined);
+    t.is(placed.length + refused.length, 400);
+    // 400 x 12 ms at four slots of 100 ms serve 192 and the line at the end.
+    t.true(placed.length >= 190, `${placed.length} served`);
+});
+
+test("under load the urgent kind is served and the less urgent one gives way", t => {
+    const load = makeLoad(2, 100);
+    const urgent: Outcome[] = [];
+    const other: Outcome[] = [];
+    for (let step = 0; step < 200; step += 1) {
+        (step % 3 === 0 ? urgent : other).push(load.send(step % 3 === 0 ? 0 : 2, 400, 1_000));
+        load.advance(load.now() + 20);
+    }
+    load.advance(load.now() + 2_000);
+    const share = (outcomes: readonly Outcome[]) =>
+        outcomes.filter(outcome => outcome.placedAtMillis !== undefined).length / outcomes.length;
+    t.is(share(urgent), 1);
+    t.true(share(other) < share(urgent));
+});
+
+test("a request that the line cannot reach in time is refused at once, with a time to come back", t => {
+    const load = makeLoad(1, 200);
+    for (let step = 0; step < 20; step += 1) {
+        load.send(1, 5_000, 6_000);
+    }
+    load.advance(1_000);
+    const served = load.outcomes.filter(outcome => outcome.placedAtMillis !== undefined).length;
+    t.is(served, 6, "one at once and one each 200 ms");
+    const late = load.send(2, 900, 1_200);
+    t.is(late.refusedAtMillis, load.now());
+    t.true(late.retryAfterMillis! >= 1_000, `${late.retryAfterMillis} ms`);
+});
+
+test("a burst after a quiet time is not refused for the few requests that came before it", t => {
+    const load = makeLoad(4, 100);
+    for (let step = 0; step < 4; step += 1) {
+        load.send(1, 400, 1_500);
+        load.advance(load.now() + 500);
+    }
+    for (let step = 0; step < 20; step += 1) {
+        load.send(1, 400, 1_500);
+    }
+    load.advance(load.now() + 1_000);
+    t.true(load.outcomes.every(outcome => outcome.placedAtMillis !== undefined));
+});
+
+test("a free slot is taken by a newcomer whom it fits, whatever others wait for", t => {
+    const room = makeWaitingRoom();
+    const waiter = (placeable: boolean): Waiter & { wasPlaced: boolean; } => {
+        const made = {
+            service: "desk",
+            priority: 1,
+            inTimeUntilMillis: 300,
+            giveUpAtMillis: 900,
+            wasPlaced: false,
+            tryPlace: () => made.wasPlaced = placeable,
+            refuse: () => t.fail()
+        };
+        return made;
+    };
+    const blocked = waiter(false);
+    const fitting = waiter(true);
+    room.enter(blocked, 0);
+    room.enter(fitting, 1);
+    t.false(blocked.wasPlaced);
+    t.true(fitting.wasPlaced);
+});
+
+test("the share that leaves a region never moves faster than its slope, whatever the load does", t => {
+    const stepPerSecond = 0.04;
+    const balance = makeRegionBalance(stepPerSecond, 0.04);
+    balance.begin("desk", 0.3);
+    const shares: number[] = [];
+    for (let step = 0; step < 300; step += 1) {
+        const isBusy = Math.floor(step / 40) % 2 === 0;
+        balance.adjust("desk", { own: isBusy ? 1 : 0, others: isBusy ? 0.1 : 0.9 }, isBusy ? 1 : 0, step * 200);
+        shares.push(balance.awayShare("desk"));
+    }
+    const steps = shares.slice(10).map((share, index) => Math.abs(share - shares[index]!));
+    t.true(Math.max(...steps) <= stepPerSecond * 2 + 1e-9, `${Math.max(...steps)} in two seconds`);
+    t.true(Math.max(...shares) > 0.5 && Math.min(...shares) < 0.3);
+});
