--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -78,9 +78,9 @@
 /** First guess of the round trip to another region; connections measure it. */
 const otherRegionRoundTripMillis = 110;
 /** Before the end by force, new requests are refused for this long, so that what is under way can end. */
-const refuseBeforeEndMillis = 1_500;
+const refuseBeforeEndMillis = 2_000;
 /** The process ends this long before the end by force. */
-const endMarginMillis = 400;
+const endMarginMillis = 800;
 const omittedReportMillis = 5_000;
 
 /** Puts the parts of a gateway together and starts it. */
--- a/packages/endivebridge-traffic/src/__tests__/unit/Placement.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Placement.test.ts
@@ -25,7 +25,10 @@
     const there = makePlacementSample([...sixServers].reverse());
     for (const key of range(50)) {
         const keyHash = hashText(`key-${key}`);
-        t.is(idOf(here.placement.choose(request({ keyHash }), 0)), idOf(there.placement.choose(request({ keyHash }), 0)));
+        t.is(
+            idOf(here.placement.choose(request({ keyHash }), 0)),
+            idOf(there.placement.choose(request({ keyHash }), 0))
+        );
     }
 });
 
@@ -62,19 +65,21 @@
 });
 
 test("no server is sent more than its slots, whatever the load", t => {
-    t.notThrows(() => fc.assert(fc.property(
-        fc.array(fc.tuple(fc.nat({ max: 30 }), fc.double({ min: 0, max: 1, noNaN: true })), { maxLength: 200 }),
-        loads => {
-            const { pool, placement } = makePlacementSample(sixServers);
-            for (const [key, waitedShare] of loads) {
-                const chosen = placement.choose(request({ keyHash: hashText(`k${key}`), waitedShare }), 0);
-                if (typeof chosen !== "string") {
-                    chosen.tracked.ownInFlight += 1;
+    t.notThrows(() =>
+        fc.assert(fc.property(
+            fc.array(fc.tuple(fc.nat({ max: 30 }), fc.double({ min: 0, max: 1, noNaN: true })), { maxLength: 200 }),
+            loads => {
+                const { pool, placement } = makePlacementSample(sixServers);
+                for (const [key, waitedShare] of loads) {
+                    const chosen = placement.choose(request({ keyHash: hashText(`k${key}`), waitedShare }), 0);
+                    if (typeof chosen !== "string") {
+                        chosen.tracked.ownInFlight += 1;
+                    }
                 }
+                return [...pool.all()].every(tracked => tracked.ownInFlight <= tracked.server.slots);
             }
-            return [...pool.all()].every(tracked => tracked.ownInFlight <= tracked.server.slots);
-        }
-    )));
+        ))
+    );
 });
 
 test("leaving and evacuated servers get nothing", t => {
--- a/packages/endivebridge-traffic/src/__tests__/unit/Traffic.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Traffic.test.ts
@@ -25,76 +25,90 @@
 });
 
 test("a split keeps each share within one request of its weight, from any start", t => {
-    t.notThrows(() => fc.assert(fc.property(
-        fc.array(fc.integer({ min: 1, max: 90 }), { minLength: 2, maxLength: 4 }),
-        fc.integer({ min: 1, max: 400 }),
-        fc.double({ min: 0, max: 0.99, noNaN: true }),
-        (weights, requests, start) => {
-            const split: Route = route({ targets: weights.map((weight, index) => ({ service: `s${index}`, weight })) });
-            const choice = makeSplitChoice(() => start);
-            const counts = new Map<string, number>();
-            for (let index = 0; index < requests; index += 1) {
-                const service = choice.choose(split);
-                counts.set(service, (counts.get(service) ?? 0) + 1);
+    t.notThrows(() =>
+        fc.assert(fc.property(
+            fc.array(fc.integer({ min: 1, max: 90 }), { minLength: 2, maxLength: 4 }),
+            fc.integer({ min: 1, max: 400 }),
+            fc.double({ min: 0, max: 0.99, noNaN: true }),
+            (weights, requests, start) => {
+                const split: Route = route({
+                    targets: weights.map((weight, index) => ({ service: `s${index}`, weight }))
+                });
+                const choice = makeSplitChoice(() => start);
+                const counts = new Map<string, number>();
+                for (let index = 0; index < requests; index += 1) {
+                    const service = choice.choose(split);
+                    counts.set(service, (counts.get(service) ?? 0) + 1);
+                }
+                const total = weights.reduce((sum, weight) => sum + weight, 0);
+                return split.targets.every(({ service, weight }) =>
+                    Math.abs((counts.get(service) ?? 0) - requests * weight / total) <= weights.length
+                );
             }
-            const total = weights.reduce((sum, weight) => sum + weight, 0);
-            return split.targets.every(({ service, weight }) =>
-                Math.abs((counts.get(service) ?? 0) - requests * weight / total) <= weights.length
-            );
-        }
-    )));
+        ))
+    );
 });
 
 test("the retry budget of all instances together is never passed, in any sliding window", t => {
     const limits = { ratio: 0.2, slack: 60, windowMillis: 10_000 };
-    t.notThrows(() => fc.assert(fc.property(
-        fc.integer({ min: 1, max: 12 }),
-        fc.array(fc.tuple(fc.nat({ max: 11 }), fc.nat({ max: 400 }), fc.boolean()), { maxLength: 600 }),
-        (instances, events) => {
-            const budgets = Array.from({ length: instances }, () => makeRetryBudget(limits));
-            const requests: number[] = [];
-            const spent: number[] = [];
-            let nowMillis = 0;
-            for (const [which, pauseMillis, isRetry] of events) {
-                nowMillis += pauseMillis;
-                const budget = budgets[which % instances]!;
-                if (!isRetry) {
-                    budget.countRequest("s", nowMillis);
-                    requests.push(nowMillis);
-                }
-                else if (budget.trySpend("s", instances, nowMillis)) {
-                    spent.push(nowMillis);
+    t.notThrows(() =>
+        fc.assert(fc.property(
+            fc.integer({ min: 1, max: 12 }),
+            fc.array(fc.tuple(fc.nat({ max: 11 }), fc.nat({ max: 400 }), fc.boolean()), { maxLength: 600 }),
+            (instances, events) => {
+                const budgets = Array.from({ length: instances }, () => makeRetryBudget(limits));
+                const requests: number[] = [];
+                const spent: number[] = [];
+                let nowMillis = 0;
+                for (const [which, pauseMillis, isRetry] of events) {
+                    nowMillis += pauseMillis;
+                    const budget = budgets[which % instances]!;
+                    if (!isRetry) {
+                        budget.countRequest("s", nowMillis);
+                        requests.push(nowMillis);
+                    }
+                    else if (budget.trySpend("s", instances, nowMillis)) {
+                        spent.push(nowMillis);
+                    }
                 }
+                return spent.every(endMillis => {
+                    const startMillis = endMillis - limits.windowMillis;
+                    const inWindow = (times: readonly number[], from: number) =>
+                        times.filter(at => at > from && at <= endMillis).length;
+                    // Requests of the window before count too, as they do where the budget is judged.
+                    const counted = inWindow(requests, startMillis - limits.windowMillis);
+                    return inWindow(spent, startMillis) <= limits.ratio * counted + limits.slack;
+                });
             }
-            return spent.every(endMillis => {
-                const startMillis = endMillis - limits.windowMillis;
-                const inWindow = (times: readonly number[], from: number) =>
-                    times.filter(at => at > from && at <= endMillis).length;
-                // Requests of the window before count too, as they do where the budget is judged.
-                const counted = inWindow(requests, startMillis - limits.windowMillis);
-                return inWindow(spent, startMillis) <= limits.ratio * counted + limits.slack;
-            });
-        }
-    )));
+        ))
+    );
 });
 
 test("all instances together keep a cold server under its rate in every second", t => {
     const requestsPerSecond = 11;
-    t.notThrows(() => fc.assert(fc.property(fc.integer({ min: 1, max: 9 }), fc.array(fc.nat({ max: 8 }), { maxLength: 800 }), (sharers, which) => {
-        const limits = Array.from({ length: sharers }, () => makeColdLimit(0));
-        const taken: number[] = [];
-        which.forEach((index, step) => {
-            const nowMillis = step * 5;
-            const limit = limits[index % sharers]!;
-            if (limit.canTake(requestsPerSecond / sharers, nowMillis)) {
-                limit.take();
-                taken.push(nowMillis);
-            }
-        });
-        return taken.every(at =>
-            taken.filter(other => other > at - 1_000 && other <= at).length <= requestsPerSecond * 1.5 + 5
-        );
-    })));
+    t.notThrows(() =>
+        fc.assert(
+            fc.property(
+                fc.integer({ min: 1, max: 9 }),
+                fc.array(fc.nat({ max: 8 }), { maxLength: 800 }),
+                (sharers, which) => {
+                    const limits = Array.from({ length: sharers }, () => makeColdLimit(0));
+                    const taken: number[] = [];
+                    which.forEach((index, step) => {
+                        const nowMillis = step * 5;
+                        const limit = limits[index % sharers]!;
+                        if (limit.canTake(requestsPerSecond / sharers, nowMillis)) {
+                            limit.take();
+                            taken.push(nowMillis);
+                        }
+                    });
+                    return taken.every(at =>
+                        taken.filter(other => other > at - 1_000 && other <= at).length <= requestsPerSecond * 1.5 + 5
+                    );
+                }
+            )
+        )
+    );
 });
 
 const report = (name: string, changes: Partial<MemberReport>): MemberReport => ({
