Placement looks at a key's two servers instead of ranking all; free slots are offered together

Change: servers are grouped once per list, a key's two servers are found without building lists, offers are gathered for 4 ms.

--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -75,6 +75,7 @@
 const firstShareFactor = 0.8;
 /** Those who wait are looked at this often, besides each time that a slot is freed. */
 const waitingTurnMillis = 25;
+const offerGatherMillis = 4;
 /** First guess of the round trip to another region; connections measure it. */
 const otherRegionRoundTripMillis = 110;
 /** Before the end by force, new requests are refused for this long, so that what is under way can end. */
@@ -146,6 +147,20 @@
         return known;
     };
 
+    const dueServices = new Set<string>();
+
+    /** Slots that become free within a few milliseconds are offered together: a look at a long line has its cost. */
+    const serveWaiting = (name: string) => {
+        if (waitingRoom.waiting(name) === 0 || dueServices.has(name)) {
+            return;
+        }
+        dueServices.add(name);
+        setTimeout(() => {
+            dueServices.delete(name);
+            waitingRoom.serve(name, monotonicMillis());
+        }, offerGatherMillis);
+    };
+
     const isReady = () => inForce !== undefined && pool.size() > 0 && stoppingSinceMillis === undefined;
 
     const { server, openRequests } = makeCallerServer({
@@ -157,6 +172,7 @@
                 dialect,
                 placement,
                 waitingRoom,
+                serveWaiting,
                 retryBudget,
                 estimates,
                 poison,
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -59,6 +59,8 @@
     readonly dialect: Dialect;
     readonly placement: Placement;
     readonly waitingRoom: WaitingRoom;
+    /** Offers a slot that became free to those who wait. */
+    readonly serveWaiting: (service: string) => void;
     readonly retryBudget: RetryBudget;
     readonly estimates: WorkEstimates;
     readonly poison: PoisonList;
@@ -236,7 +238,7 @@
             }
         }
         parts.metrics.attempts.inc({ service: service.name, outcome: outcome.kind });
-        parts.waitingRoom.serve(service.name, nowMillis);
+        parts.serveWaiting(service.name);
     };
 
     const noteCrash = (placed: Placed, outcome: ExchangeOutcome, tookMillis: number) => {
--- a/packages/endivebridge-traffic/src/Placement.ts
+++ b/packages/endivebridge-traffic/src/Placement.ts
@@ -2,7 +2,7 @@
 import { hashText, mixHashes } from "./Hash";
 import type { RegionBalance } from "./RegionBalance";
 import type { ServerPool, TrackedServer } from "./ServerPool";
-import { coldRank, type WorkEstimates } from "./WorkEstimates";
+import type { WorkEstimates } from "./WorkEstimates";
 
 /** A request that needs a backend server. */
 export interface PlacementRequest {
@@ -64,11 +64,11 @@
 /** A failure domain with fewer servers of a service does not keep copies of all keys of its own. */
 const leastDomainServers = 4;
 /**
- * A request waits this share of its objective before a server of that rank will do. Work where a key is not warm takes
- * several times as long, and pushes out what others rely on: under load, spreading makes every server cold, and the
- * load stays for that reason alone.
+ * A key's second server will do once the request has waited this share of its objective for the first. There is no
+ * third while these two can be used: work where a key is not warm takes several times as long, and pushes out what
+ * others rely on; under load, spreading makes every server cold, and the load stays for that reason alone.
  */
-const widenAfterShares = [0, 0.25, Infinity, Infinity, Infinity];
+const secondServerAfterShare = 0.25;
 /** Draws which keys leave their region independently of the server that they go to. */
 const awaySalt = hashText("away");
 
@@ -82,11 +82,6 @@
     return 1 + (tracked.slowness - 1) * 2 ** (-ageMillis / slownessHalfLifeMillis);
 }
 
-interface Candidate {
-    readonly tracked: TrackedServer;
-    readonly weight: number;
-}
-
 /**
  * Makes the placement of one instance. The load it answers: more work than the warm servers of a key can take, in a
  * region that may have fewer servers than its callers need. Work waits at instances, never inside servers, so a server
@@ -127,96 +122,112 @@
         return workMillis * (1 + 2 * tracked.failureShare + 0.1 * busyShare) + distanceMillis;
     };
 
-    /** The cheapest server with room among those that share one rendezvous order. */
-    const cheapest = (
+    const place = (
+        request: PlacementRequest,
+        tracked: TrackedServer,
+        rank: number,
+        isException: boolean,
+        nowMillis: number
+    ): Placed | undefined => {
+        const isRemote = tracked.server.region !== view.region;
+        const isCold = tracked.coldUntilMillis > nowMillis;
+        return hasRoom(tracked, isRemote && isException) && !(isCold && (isRemote || !canWarmUp(tracked, nowMillis)))
+            ? { tracked, rank, isRemote, expectedMillis: costMillis(request, tracked, rank, nowMillis) }
+            : undefined;
+    };
+
+    /** The cheapest of the two servers that come first for a key; busy ones keep their place. */
+    const cheapestForKey = (
         request: PlacementRequest,
+        keyHash: number,
         servers: readonly TrackedServer[],
         isException: boolean,
         nowMillis: number
     ): Placed | undefined => {
-        // Ranks count busy servers too: a key's order must not change with load.
-        const top: Candidate[] = [];
-        if (request.keyHash !== undefined) {
-            for (const tracked of servers) {
-                if (!isUsable(tracked, request, nowMillis)) {
-                    continue;
-                }
-                const weight = mixHashes(tracked.hash, request.keyHash);
-                if (top.length < coldRank || weight > top[top.length - 1]!.weight) {
-                    const position = top.findIndex(other => other.weight < weight);
-                    top.splice(position < 0 ? top.length : position, 0, { tracked, weight });
-                    top.length = Math.min(top.length, coldRank);
-                }
-            }
-        }
-        let best: Placed | undefined;
+        let first: TrackedServer | undefined;
+        let second: TrackedServer | undefined;
+        let firstWeight = -1;
+        let secondWeight = -1;
         for (const tracked of servers) {
-            const isRemote = tracked.server.region !== view.region;
-            if (!isUsable(tracked, request, nowMillis) || !hasRoom(tracked, isRemote && isException)) {
+            const weight = mixHashes(tracked.hash, keyHash);
+            if (weight <= secondWeight || !isUsable(tracked, request, nowMillis)) {
                 continue;
             }
-            if (tracked.coldUntilMillis > nowMillis && (isRemote || !canWarmUp(tracked, nowMillis))) {
-                continue;
-            }
-            const found = request.keyHash === undefined ? 0 : top.findIndex(other => other.tracked === tracked);
-            const rank = found < 0 ? coldRank : found;
-            if (widenAfterShares[rank]! > request.waitedShare) {
-                continue;
+            if (weight > firstWeight) {
+                second = first;
+                secondWeight = firstWeight;
+                first = tracked;
+                firstWeight = weight;
             }
-            const expectedMillis = costMillis(request, tracked, rank, nowMillis);
-            if (best === undefined || expectedMillis < best.expectedMillis) {
-                best = { tracked, rank, isRemote, expectedMillis };
+            else {
+                second = tracked;
+                secondWeight = weight;
             }
         }
-        return best;
+        const onFirst = first === undefined ? undefined : place(request, first, 0, isException, nowMillis);
+        if (second === undefined || request.waitedShare < secondServerAfterShare) {
+            return onFirst;
+        }
+        return cheaper(onFirst, place(request, second, 1, isException, nowMillis));
     };
 
-    /** A large failure domain keeps a warm copy of each key of its own; small ones share theirs with the region. */
-    const orders = (servers: readonly TrackedServer[]): readonly (readonly TrackedServer[])[] => {
-        const domains = new Map<string, TrackedServer[]>();
+    const cheapestOfAll = (
+        request: PlacementRequest,
+        servers: readonly TrackedServer[],
+        isException: boolean,
+        nowMillis: number
+    ): Placed | undefined => {
+        let best: Placed | undefined;
         for (const tracked of servers) {
-            const { failureDomain } = tracked.server;
-            const known = domains.get(failureDomain);
-            if (known === undefined) {
-                domains.set(failureDomain, [tracked]);
-            }
-            else {
-                known.push(tracked);
+            if (isUsable(tracked, request, nowMillis)) {
+                best = cheaper(best, place(request, tracked, 0, isException, nowMillis));
             }
         }
-        const sizes = [...domains.values()].map(domain => domain.length);
-        return Math.min(...sizes) >= leastDomainServers ? [...domains.values()] : [servers];
+        return best;
     };
 
     const cheapestIn = (
         request: PlacementRequest,
-        servers: readonly TrackedServer[],
+        orders: readonly (readonly TrackedServer[])[],
         isException: boolean,
         nowMillis: number
     ): Placed | undefined => {
         let best: Placed | undefined;
-        for (const order of servers.length === 0 ? [] : orders(servers)) {
-            const placed = cheapest(request, order, isException, nowMillis);
-            if (placed !== undefined && (best === undefined || placed.expectedMillis < best.expectedMillis)) {
-                best = placed;
-            }
+        for (const servers of orders) {
+            const placed = request.keyHash === undefined
+                ? cheapestOfAll(request, servers, isException, nowMillis)
+                : cheapestForKey(request, request.keyHash, servers, isException, nowMillis);
+            best = cheaper(best, placed);
         }
         return best;
     };
 
+    const layouts = new Map<string, { readonly servers: readonly TrackedServer[]; readonly layout: Layout; }>();
+
+    /** The service's servers by region; kept until the pool lists others. */
+    const layoutOf = (service: string): Layout => {
+        const servers = view.pool.ofService(service);
+        const known = layouts.get(service);
+        if (known?.servers === servers) {
+            return known.layout;
+        }
+        const layout = makeLayout(servers);
+        layouts.set(service, { servers, layout });
+        return layout;
+    };
+
     /** The region that a request belongs to: mostly the own one, else one by its key, weighted by servers. */
-    const homeOf = (request: PlacementRequest, regions: ReadonlyMap<string, readonly TrackedServer[]>): string => {
+    const homeOf = (request: PlacementRequest, regions: readonly RegionServers[]): string => {
         const { keyHash } = request;
         const draw = keyHash === undefined ? view.random() : unitOf(mixHashes(keyHash, awaySalt));
-        if (regions.has(view.region) && draw >= view.balance.awayShare(request.service)) {
+        const hasOwn = regions.some(({ region }) => region === view.region);
+        if (hasOwn && draw >= view.balance.awayShare(request.service)) {
             return view.region;
         }
         let best = view.region;
         let bestWeight = Infinity;
-        for (const [region, servers] of regions) {
-            const regionDraw = keyHash === undefined
-                ? view.random()
-                : unitOf(mixHashes(keyHash, hashText(region)));
+        for (const { region, regionHash, servers } of regions) {
+            const regionDraw = keyHash === undefined ? view.random() : unitOf(mixHashes(keyHash, regionHash));
             const weight = -Math.log(regionDraw) / servers.length;
             if (region !== view.region && weight < bestWeight) {
                 best = region;
@@ -229,47 +240,72 @@
     return {
         choose: (request, nowMillis) => {
             const { homeRegions } = request.route;
-            const regions = new Map<string, TrackedServer[]>();
-            let hasUsable = false;
-            for (const tracked of view.pool.ofService(request.service)) {
-                const { region } = tracked.server;
-                if (
-                    tracked.server.isLeaving
-                    || view.isEvacuated(tracked.server.failureDomain)
-                    || (homeRegions.length > 0 && !homeRegions.includes(region))
-                ) {
-                    continue;
-                }
-                const servers = regions.get(region);
-                if (servers === undefined) {
-                    regions.set(region, [tracked]);
-                }
-                else {
-                    servers.push(tracked);
-                }
-                hasUsable ||= isUsable(tracked, request, nowMillis);
-            }
-            if (!hasUsable) {
+            const regions = layoutOf(request.service).filter(({ region, servers }) =>
+                (homeRegions.length === 0 || homeRegions.includes(region))
+                && servers.some(tracked => isUsable(tracked, request, nowMillis))
+            );
+            if (regions.length === 0) {
                 return "no servers";
             }
             if (request.isNew) {
                 view.balance.countRequest();
             }
             const home = homeOf(request, regions);
-            const placed = cheapestIn(request, regions.get(home) ?? [], false, nowMillis);
-            if (placed !== undefined) {
-                return placed;
-            }
             let elsewhere: Placed | undefined;
-            for (const [region, servers] of regions) {
-                const found = region === home ? undefined : cheapestIn(request, servers, true, nowMillis);
-                if (
-                    found !== undefined && (elsewhere === undefined || found.expectedMillis < elsewhere.expectedMillis)
-                ) {
-                    elsewhere = found;
+            for (const { region, orders } of regions) {
+                if (region === home) {
+                    const placed = cheapestIn(request, orders, false, nowMillis);
+                    if (placed !== undefined) {
+                        return placed;
+                    }
+                }
+            }
+            for (const { region, orders } of regions) {
+                if (region !== home) {
+                    elsewhere = cheaper(elsewhere, cheapestIn(request, orders, true, nowMillis));
                 }
             }
             return elsewhere !== undefined && view.balance.tryExcept() ? elsewhere : "all busy";
         }
     };
 }
+
+function cheaper(left: Placed | undefined, right: Placed | undefined): Placed | undefined {
+    if (left === undefined || right === undefined) {
+        return left ?? right;
+    }
+    return right.expectedMillis < left.expectedMillis ? right : left;
+}
+
+interface RegionServers {
+    readonly region: string;
+    readonly regionHash: number;
+    readonly servers: readonly TrackedServer[];
+    /** Sets of servers that keys are spread over, each by itself. */
+    readonly orders: readonly (readonly TrackedServer[])[];
+}
+
+type Layout = readonly RegionServers[];
+
+function groupBy<Key, Value>(values: readonly Value[], keyOf: (value: Value) => Key): Map<Key, Value[]> {
+    const groups = new Map<Key, Value[]>();
+    for (const value of values) {
+        const group = groups.get(keyOf(value));
+        if (group === undefined) {
+            groups.set(keyOf(value), [value]);
+        }
+        else {
+            group.push(value);
+        }
+    }
+    return groups;
+}
+
+/** A large failure domain keeps a warm copy of each key of its own; small ones share theirs with the region. */
+function makeLayout(servers: readonly TrackedServer[]): Layout {
+    return [...groupBy(servers, tracked => tracked.server.region)].map(([region, inRegion]) => {
+        const domains = [...groupBy(inRegion, tracked => tracked.server.failureDomain).values()];
+        const areLarge = domains.every(domain => domain.length >= leastDomainServers);
+        return { region, regionHash: hashText(region), servers: inRegion, orders: areLarge ? domains : [inRegion] };
+    });
+}
--- a/packages/endivebridge-traffic/src/ServerPool.ts
+++ b/packages/endivebridge-traffic/src/ServerPool.ts
@@ -41,6 +41,7 @@
 /** The backend servers that this instance may use, by id and by service. */
 export interface ServerPool {
     readonly get: (id: string) => TrackedServer | undefined;
+    /** The same list until a server comes or goes. */
     readonly ofService: (service: string) => readonly TrackedServer[];
     readonly all: () => Iterable<TrackedServer>;
     readonly size: () => number;
@@ -49,6 +50,8 @@
     readonly remove: (id: string) => TrackedServer | undefined;
 }
 
+const none: readonly TrackedServer[] = [];
+
 /** Makes an empty pool. */
 export function makeServerPool(): ServerPool {
     const byId = new Map<string, TrackedServer>();
@@ -91,7 +94,7 @@
 
     return {
         get: id => byId.get(id),
-        ofService: service => byService.get(service) ?? [],
+        ofService: service => byService.get(service) ?? none,
         all: () => byId.values(),
         size: () => byId.size,
         upsert: (server, nowMillis) => {
--- a/packages/endivebridge-traffic/src/WorkEstimates.ts
+++ b/packages/endivebridge-traffic/src/WorkEstimates.ts
@@ -7,15 +7,12 @@
     readonly learn: (route: Route, rank: number, workMillis: number) => void;
 }
 
-/** Servers from this rank on are equally unlikely to be warm. */
-export const coldRank = 4;
-
 /**
- * Work at each rank relative to the first. These are set, not learned: a key that is spread over more servers pushes
- * other keys out of their memory, which no measurement of its own requests shows, and learned factors would even out
- * while everything goes cold.
+ * Work on a key's second server relative to its first. It is set, not learned: a key that is spread over more servers
+ * pushes other keys out of their memory, which no measurement of its own requests shows, and a learned factor would
+ * even out while everything goes cold.
  */
-const rankFactors = [1, 1.5, 2.2, 2.8, 3.3];
+const secondServerFactor = 1.5;
 
 /** Weight of the newest measurement: about twenty answers of memory. */
 const newestWeight = 0.05;
@@ -28,10 +25,9 @@
 
     const warmOf = (route: Route): number =>
         warmMillis.get(route.name) ?? route.objectiveMillis * initialObjectiveShare;
-    const factorOf = (rank: number): number => rankFactors[Math.min(rank, coldRank)]!;
 
     return {
-        estimateMillis: (route, rank) => warmOf(route) * factorOf(rank),
+        estimateMillis: (route, rank) => warmOf(route) * (rank === 0 ? 1 : secondServerFactor),
         learn: (route, rank, workMillis) => {
             if (rank > 0) {
                 return;
--- a/packages/endivebridge-traffic/src/__tests__/unit/WaitingRoom.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/WaitingRoom.test.ts
@@ -5,6 +5,7 @@
     placedAtMillis?: number;
     refusedAtMillis?: number;
     retryAfterMillis?: number;
+    reason?: string;
 }
 
 /** A service with a number of slots and a fixed work time, and requests that need any one of them. */
@@ -42,7 +43,8 @@
                 outcome.placedAtMillis = at;
                 return true;
             },
-            refuse: (_, retryAfterMillis) => {
+            refuse: (reason, retryAfterMillis) => {
+                outcome.reason = reason;
                 outcome.refusedAtMillis = nowMillis;
                 outcome.retryAfterMillis = retryAfterMillis;
             }
