Requests that come back are known by their patience, and go before other late ones; shares move a little faster

Change: less patience than callers have at first shows a later attempt; its time since the first counts against its objective, and among late requests it goes first. Shares use 0.6 instead of 0.5 of the permitted slope.

--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -1,5 +1,5 @@
 import { monotonicMillis } from "@endivebridge/shared";
-import type { RouteTable, SplitChoice, TrafficConfiguration } from "@endivebridge/traffic";
+import type { AttemptAges, RouteTable, SplitChoice, TrafficConfiguration } from "@endivebridge/traffic";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type CallerRequest, endToEndHeaders, makeCallerRequest } from "./CallerRequest";
 import type { Dialect } from "./Dialect";
@@ -21,6 +21,7 @@
     readonly dialect: Dialect;
     readonly configuration: () => ConfigurationInForce | undefined;
     readonly splitChoice: SplitChoice;
+    readonly attempts: AttemptAges;
     readonly run: (routed: RoutedRequest) => RunningRequest;
     /** Whether the instance is shutting down, so that callers should open their next connection elsewhere. */
     readonly isLeaving: () => boolean;
@@ -152,7 +153,8 @@
                 route: matched,
                 service,
                 configurationVersion: inForce.configuration.version,
-                arrivedMillis
+                arrivedMillis,
+                sinceFirstAttemptMillis: parts.attempts.sinceFirstMillis(matched.name, request.patienceMillis)
             };
     };
 
@@ -169,6 +171,7 @@
             configurationVersion: routed?.configurationVersion,
             totalMillis: Math.round(tookMillis),
             patienceMillis: request.patienceMillis,
+            sinceFirstAttemptMillis: routed?.sinceFirstAttemptMillis,
             affinityKey: request.affinityKey,
             outcome,
             ...result.kind === "answered" ? { status: result.answer.status, ...result.send } : {},
--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -2,6 +2,7 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import {
     type BackendServer,
+    makeAttemptAges,
     makeMembers,
     makePlacement,
     makeRegionBalance,
@@ -60,7 +61,7 @@
 }
 
 /** Part of the permitted change that planned shares use; instances do not all see the same requests. */
-const shiftSafety = 0.5;
+const shiftSafety = 0.6;
 /** Part of the permitted change that is left to requests which find no room where they belong. */
 const exceptionSafety = 0.25;
 /** A new connection inside the region costs about a millisecond, so that idle ones need not be trusted for long. */
@@ -167,6 +168,7 @@
         dialect,
         configuration: () => inForce,
         splitChoice,
+        attempts: makeAttemptAges(),
         run: routed =>
             runRequest({
                 dialect,
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -28,6 +28,8 @@
     readonly service: Service;
     readonly configurationVersion: number;
     readonly arrivedMillis: number;
+    /** How long ago the caller first sent it, as far as its remaining patience shows; 0 for a first attempt. */
+    readonly sinceFirstAttemptMillis: number;
 }
 
 /** How a request ended. */
@@ -99,7 +101,7 @@
 
 /** Serves one request: waits for a server, sends, sends again where that is safe, until one final answer is known. */
 export function runRequest(parts: RunRequestParts, routed: RoutedRequest): RunningRequest {
-    const { request, route, service, arrivedMillis } = routed;
+    const { request, route, service, arrivedMillis, sinceFirstAttemptMillis } = routed;
     const patienceMillis = Math.min(request.patienceMillis ?? Infinity, route.timeoutMillis);
     const deadlineMillis = arrivedMillis + patienceMillis - answerMarginMillis;
     const keyHash = affinityHash(request, route);
@@ -141,7 +143,8 @@
             const waiter: Waiter = {
                 service: service.name,
                 priority: route.priority,
-                inTimeUntilMillis: arrivedMillis + route.objectiveMillis - expectedMillis,
+                inTimeUntilMillis: arrivedMillis + route.objectiveMillis - sinceFirstAttemptMillis - expectedMillis,
+                isReturning: sinceFirstAttemptMillis > 0,
                 giveUpAtMillis: deadlineMillis - expectedMillis,
                 tryPlace: nowMillis => {
                     const waitedShare = (nowMillis - waitingSinceMillis) / route.objectiveMillis;
--- a/packages/endivebridge-traffic/src/WaitingRoom.ts
+++ b/packages/endivebridge-traffic/src/WaitingRoom.ts
@@ -10,6 +10,8 @@
     readonly priority: number;
     /** Sent off until then, its answer still comes within its objective. */
     readonly inTimeUntilMillis: number;
+    /** Whether its caller was refused before and came back as told. */
+    readonly isReturning: boolean;
     /** Sent off later, its answer no longer reaches its caller at all. */
     readonly giveUpAtMillis: number;
     /** Tries to send the request off; true when it left. */
@@ -71,8 +73,12 @@
         if (leftIsLate !== rightIsLate) {
             return rightIsLate;
         }
-        return left.priority !== right.priority
-            ? left.priority < right.priority
+        if (left.priority !== right.priority) {
+            return left.priority < right.priority;
+        }
+        // Among late ones, whoever was refused before and came back is not refused again for others.
+        return left.isReturning !== right.isReturning && leftIsLate
+            ? left.isReturning
             : left.inTimeUntilMillis < right.inTimeUntilMillis;
     };
 
--- a/packages/endivebridge-traffic/src/__tests__/unit/WaitingRoom.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/WaitingRoom.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { makeRegionBalance, makeWaitingRoom, type Waiter } from "../../index";
+import { makeAttemptAges, makeRegionBalance, makeWaitingRoom, type Waiter } from "../../index";
 
 interface Outcome {
     placedAtMillis?: number;
@@ -27,12 +27,18 @@
             room.serveAll(nowMillis);
         }
     };
-    const send = (priority: number, objectiveMillis: number, deadlineMillis: number): Outcome => {
+    const send = (
+        priority: number,
+        objectiveMillis: number,
+        deadlineMillis: number,
+        isReturning = false
+    ): Outcome => {
         const outcome: Outcome = {};
         const waiter: Waiter = {
             service: "desk",
             priority,
             inTimeUntilMillis: nowMillis + objectiveMillis - workMillis,
+            isReturning,
             giveUpAtMillis: nowMillis + deadlineMillis - workMillis,
             tryPlace: at => {
                 if (free === 0) {
@@ -111,6 +117,24 @@
     t.true(load.outcomes.every(outcome => outcome.placedAtMillis !== undefined));
 });
 
+test("among late requests, who came back as told goes before who did not", t => {
+    const load = makeLoad(1, 200);
+    load.send(1, 400, 1_000);
+    const waiting = load.send(1, 100, 2_000);
+    const returned = load.send(1, 100, 2_000, true);
+    load.advance(1_500);
+    t.true(returned.placedAtMillis! < waiting.placedAtMillis!);
+});
+
+test("a request with less patience than its route's callers have at first is a later attempt", t => {
+    const ages = makeAttemptAges();
+    t.is(ages.sinceFirstMillis("r", 2_000), 0);
+    t.is(ages.sinceFirstMillis("r", 1_700), 0);
+    t.is(ages.sinceFirstMillis("r", 1_400), 400);
+    t.is(ages.sinceFirstMillis("other", 1_400), 0);
+    t.is(ages.sinceFirstMillis("r", undefined), 0);
+});
+
 test("a free slot is taken by a newcomer whom it fits, whatever others wait for", t => {
     const room = makeWaitingRoom();
     const waiter = (placeable: boolean): Waiter & { wasPlaced: boolean; } => {
@@ -118,6 +142,7 @@
             service: "desk",
             priority: 1,
             inTimeUntilMillis: 300,
+            isReturning: false,
             giveUpAtMillis: 900,
             wasPlaced: false,
             tryPlace: () => made.wasPlaced = placeable,
--- a/packages/endivebridge-traffic/src/index.ts
+++ b/packages/endivebridge-traffic/src/index.ts
@@ -1,3 +1,4 @@
+export { type AttemptAges, makeAttemptAges } from "./AttemptAges";
 export { type ColdLimit, makeColdLimit } from "./ColdLimit";
 export type { CallerLimits, Route, RouteTarget, Service, TrafficConfiguration } from "./Configuration";
 export { hashText, mixHashes } from "./Hash";
