Static parts count every instance ever known; peers tell of newer rows; a crash is confirmed before it is held against a request

Cause, found by reading: an instance that is cut off from its peers took the whole retry slack and the whole rate of a cold server for itself. An instance whose connection to the store went silent heard nothing for up to 5 s. Connections that were reset by living servers counted as crashes and could quarantine popular requests. Failed connections used up a request's attempts (test: 503 after two crashed servers while three others were there).

--- a/packages/endivebridge-gateway/src/Exchange.ts
+++ b/packages/endivebridge-gateway/src/Exchange.ts
@@ -1,5 +1,6 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import { type IncomingMessage, request as openRequest } from "node:http";
+import { connect } from "node:net";
 import type { Dialect } from "./Dialect";
 import type { ServerConnections } from "./ServerConnections";
 
@@ -161,3 +162,21 @@
         }
     };
 }
+
+/** Longest wait for the answer to a connection that only asks whether anybody listens. */
+const refusalTimeoutMillis = 250;
+
+/** Whether nobody listens at an address: a connection that is refused at once shows that a server has ended. */
+export function isRefused(host: string, port: number): Promise<boolean> {
+    return new Promise(resolve => {
+        const socket = connect({ host, port });
+        const finish = (refused: boolean) => {
+            clearTimeout(timer);
+            socket.destroy();
+            resolve(refused);
+        };
+        const timer = setTimeout(() => finish(false), refusalTimeoutMillis);
+        socket.on("connect", () => finish(false));
+        socket.on("error", (error: NodeJS.ErrnoException) => finish(error.code === "ECONNREFUSED"));
+    });
+}
--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -1,5 +1,5 @@
 import { makePoisonList } from "@endivebridge/core";
-import { monotonicMillis } from "@endivebridge/shared";
+import { monotonicMillis, type Teardown } from "@endivebridge/shared";
 import {
     type BackendServer,
     makeAttemptAges,
@@ -51,6 +51,10 @@
     readonly setEvacuated: (failureDomain: string, isEvacuated: boolean) => void;
     /** Notes that the platform's store was lost, or answers. */
     readonly setStoreLost: (isLost: boolean) => void;
+    /** Notes the newest change that was taken from a table of the store; peers hear of it. */
+    readonly noteTableVersion: (table: string, version: number) => void;
+    /** Tells when a peer has taken a newer change from a table than this instance. */
+    readonly registerNewerTable: (listener: (table: string) => void) => Teardown;
     /** Whether a live member has had the store for at least so long. */
     readonly someMemberHadStore: (millis: number) => boolean;
     readonly introduceMember: (record: MemberRecord) => void;
@@ -84,6 +88,8 @@
 /** The process ends this long before the end by force. */
 const endMarginMillis = 800;
 const omittedReportMillis = 5_000;
+/** Without news of any other instance for so long after the start, this one takes it that there is none. */
+const aloneAfterMillis = 5_000;
 
 /** Puts the parts of a gateway together and starts it. */
 export function startGateway(
@@ -106,21 +112,29 @@
     );
     const evacuated = new Set<string>();
     const connections = new Map<string, ServerConnections>();
+    const startedMillis = monotonicMillis();
     let inForce: ConfigurationInForce | undefined;
     let stoppingSinceMillis: number | undefined;
     let hasStoreSinceMillis: number | undefined;
+    const tableVersions: Record<string, number> = {};
+    const newerTableListeners = new Set<(table: string) => void>();
 
     const service = (name: string) => inForce?.configuration.services.get(name);
 
-    /** Instances that share a cold server: those of its failure domain, else of its region. */
+    /**
+     * Instances that share a cold server: those of its failure domain, else of its region. All that were ever known
+     * count: one that is cut off cannot tell whether the others still run.
+     */
     const coldSharers = (failureDomain: string): number => {
-        const nowMillis = monotonicMillis();
-        const live = members.live(nowMillis);
-        const sharers = live.filter(member => member.failureDomain === failureDomain);
+        const known = members.known();
+        if (known.length === 0 && monotonicMillis() - startedMillis < aloneAfterMillis) {
+            return 0;
+        }
+        const sharers = known.filter(member => member.failureDomain === failureDomain);
         if (failureDomain === own.failureDomain) {
             return sharers.length + 1;
         }
-        return sharers.length > 0 ? 0 : live.filter(member => member.region === own.region).length + 1;
+        return sharers.length > 0 ? 0 : known.filter(member => member.region === own.region).length + 1;
     };
 
     const placement = makePlacement({
@@ -253,10 +267,16 @@
             isReady: isReady(),
             inFlight: ownInFlight(),
             awayShares: awayShares(),
-            hasStoreMillis: hasStoreMillis()
+            hasStoreMillis: hasStoreMillis(),
+            tableVersions
         }),
         crashes: () => poison.quarantined(monotonicMillis()),
-        onReport: () => {
+        onReport: report => {
+            for (const [table, version] of Object.entries(report.tableVersions)) {
+                if (version > (tableVersions[table] ?? Infinity)) {
+                    newerTableListeners.forEach(listener => listener(table));
+                }
+            }
             const sums = members.inFlight(monotonicMillis());
             for (const tracked of pool.all()) {
                 tracked.peersInFlight = sums.get(tracked.server.id) ?? 0;
@@ -343,18 +363,25 @@
         setStoreLost: isLost => {
             hasStoreSinceMillis = isLost ? undefined : hasStoreSinceMillis ?? monotonicMillis();
         },
+        noteTableVersion: (table, version) => {
+            tableVersions[table] = Math.max(tableVersions[table] ?? 0, version);
+        },
+        registerNewerTable: listener => {
+            newerTableListeners.add(listener);
+            return () => newerTableListeners.delete(listener);
+        },
         someMemberHadStore: millis => members.someHadStore(millis, monotonicMillis()),
         introduceMember: members.introduce,
         isReady,
         directory: makeDirectory(own, isReady, members),
         stop: () => {
-            const startedMillis = monotonicMillis();
-            stoppingSinceMillis = startedMillis;
+            const sinceMillis = monotonicMillis();
+            stoppingSinceMillis = sinceMillis;
             log.info("stop", { openRequests: openRequests() }, "stopping: callers are sent elsewhere");
             peers.announce();
             return new Promise(resolve => {
                 const timer = setInterval(() => {
-                    const elapsedMillis = monotonicMillis() - startedMillis;
+                    const elapsedMillis = monotonicMillis() - sinceMillis;
                     const isLate = elapsedMillis > settings.stopMillis - endMarginMillis;
                     const isIdle = openRequests() === 0
                         && elapsedMillis > settings.stopMillis - refuseBeforeEndMillis;
--- a/packages/endivebridge-gateway/src/PeerExchange.ts
+++ b/packages/endivebridge-gateway/src/PeerExchange.ts
@@ -22,6 +22,7 @@
     inFlight: record(string, number),
     awayShares: record(string, number),
     hasStoreMillis: optional(number),
+    tableVersions: record(string, number),
     /** Other instances that the sender knows. */
     members: optional(array(MemberRecordCodec)),
     /** Requests under which backend servers crashed. */
@@ -38,7 +39,7 @@
     readonly members: Members;
     /** Where to look for instances that are not known yet. */
     readonly seeds: readonly { readonly host: string; readonly port: number; }[];
-    readonly describeSelf: () => Pick<MemberReport, "isReady" | "inFlight" | "awayShares" | "hasStoreMillis">;
+    readonly describeSelf: () => Omit<MemberReport, "record" | "incarnation" | "sequence">;
     readonly crashes: () => readonly StruckRequest[];
     readonly onReport: (report: MemberReport) => void;
     readonly onCrashes: (crashes: readonly StruckRequest[]) => void;
@@ -102,7 +103,7 @@
     const message = (withMembers: boolean): Buffer => {
         sequence += 1;
         const crashes = parts.crashes().slice(-mostCrashesInMessage);
-        const { isReady, inFlight, awayShares, hasStoreMillis } = parts.describeSelf();
+        const { isReady, inFlight, awayShares, hasStoreMillis, tableVersions } = parts.describeSelf();
         const content: PeerMessage = {
             record: parts.own,
             incarnation: parts.incarnation,
@@ -111,6 +112,7 @@
             inFlight: { ...inFlight },
             awayShares: { ...awayShares },
             hasStoreMillis,
+            tableVersions: { ...tableVersions },
             members: withMembers ? [...parts.members.known()].slice(0, mostMembersInMessage) : undefined,
             crashes: crashes.length > 0 ? crashes.map(crash => ({ ...crash, servers: [...crash.servers] })) : undefined
         };
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -16,7 +16,7 @@
 import { affinityHash, type CallerRequest, requestFingerprint } from "./CallerRequest";
 import type { Dialect } from "./Dialect";
 import type { EventLog } from "./EventLog";
-import { type Exchange, type ExchangeOutcome, type ServerAnswer, startExchange } from "./Exchange";
+import { type Exchange, type ExchangeOutcome, isRefused, type ServerAnswer, startExchange } from "./Exchange";
 import type { FinalAnswerKind } from "./FinalAnswers";
 import type { GatewayMetrics } from "./GatewayMetrics";
 import type { ServerConnections } from "./ServerConnections";
@@ -83,8 +83,12 @@
 const newestOutcomeWeight = 0.15;
 /** A crash within this time of the send is blamed on the request; later the server was at work on others too. */
 const crashBlameMillis = 400;
+/** A server that crashes this soon after a send crashed as it began to run the request. */
+const startCrashMillis = 60;
 /** A caller that was refused because nothing could be reached comes back after this time. */
 const unreachableRetryMillis = 300;
+/** Servers that are tried for one request where connections fail; by then the list is wrong, not the server. */
+const mostSends = 6;
 /** Time for an answer's way back to the caller. */
 const answerMarginMillis = 5;
 
@@ -109,6 +113,8 @@
     let isOver = false;
     let mayHaveRun = false;
     let sends = 0;
+    /** Sends that may have reached a server; connections that failed are not among them. */
+    let arrivals = 0;
     let stopWaiting: (() => void) | undefined;
     let exchange: Exchange | undefined;
     let settle: (result: RequestResult) => void = () => undefined;
@@ -244,20 +250,26 @@
         parts.serveWaiting(service.name);
     };
 
-    const noteCrash = (placed: Placed, outcome: ExchangeOutcome, tookMillis: number) => {
+    const noteCrash = async (placed: Placed, outcome: ExchangeOutcome, tookMillis: number): Promise<void> => {
         if (outcome.kind === "answered" && !parts.poison.isEmpty()) {
             parts.poison.clear(requestFingerprint(request));
         }
         if (outcome.kind === "lost" && outcome.wasReset && tookMillis < crashBlameMillis) {
+            const { id, host, port } = placed.tracked.server;
+            if (!await isRefused(host, port)) {
+                return;
+            }
             const fingerprint = requestFingerprint(request);
-            const isQuarantined = parts.poison.strike(fingerprint, placed.tracked.server.id, true, monotonicMillis());
+            // Beside others that were at work on the server only a crash right at the start tells them apart.
+            const ranApart = tookMillis < startCrashMillis;
+            const isQuarantined = parts.poison.strike(fingerprint, id, ranApart, monotonicMillis());
             parts.log.warn("crash", {
                 requestId: request.id,
-                server: placed.tracked.server.id,
+                server: id,
                 fingerprint,
                 tookMillis,
                 isQuarantined
-            }, "backend server reset the connection soon after the request was sent");
+            }, "backend server crashed soon after the request was sent");
         }
     };
 
@@ -266,14 +278,15 @@
 
     /** Whether the request may go to one more server; spends the budget where it may. */
     const maySendAgain = (arrivedAtServer: boolean): boolean => {
-        if (sends >= route.maximumAttempts || (mayHaveRun && !route.isIdempotent)) {
+        const isUsedUp = arrivals >= route.maximumAttempts || sends >= mostSends;
+        if (isUsedUp || (mayHaveRun && !route.isIdempotent)) {
             return false;
         }
         const nowMillis = monotonicMillis();
         if (deadlineMillis - nowMillis < parts.estimates.estimateMillis(route, 0) * 0.5) {
             return false;
         }
-        const instances = parts.members.live(nowMillis).length + 1;
+        const instances = parts.members.known().length + 1;
         return !arrivedAtServer || parts.retryBudget.trySpend(service.name, instances, nowMillis);
     };
 
@@ -298,13 +311,14 @@
             const outcome = await send(placed);
             const tookMillis = monotonicMillis() - sentMillis;
             learn(placed, outcome, tookMillis);
-            noteCrash(placed, outcome, tookMillis);
+            await noteCrash(placed, outcome, tookMillis);
             if (outcome.kind === "cancelled") {
                 return;
             }
             const ran = outcome.kind === "lost"
                 || (outcome.kind === "answered" && !outcome.answer.isNotExecuted);
             mayHaveRun ||= ran;
+            arrivals += outcome.kind === "unreachable" ? 0 : 1;
             if (outcome.kind === "answered" && !outcome.answer.isNotExecuted && outcome.answer.isSigned) {
                 const isServerError = outcome.answer.status >= 500;
                 if (isServerError && outcome.answer.rest === undefined && route.isIdempotent && maySendAgain(true)) {
@@ -351,7 +365,7 @@
 
     const logResend = (placed: Placed, detail: string, tookMillis: number) => {
         const nowMillis = monotonicMillis();
-        const instances = parts.members.live(nowMillis).length + 1;
+        const instances = parts.members.known().length + 1;
         parts.log.info("resend", {
             requestId: request.id,
             route: route.name,
--- a/packages/endivebridge-traffic/src/Members.ts
+++ b/packages/endivebridge-traffic/src/Members.ts
@@ -23,6 +23,8 @@
     readonly awayShares: Readonly<Record<string, number>>;
     /** How long it has had the platform's store without a break; undefined while it has lost it. */
     readonly hasStoreMillis: number | undefined;
+    /** Newest change that it took from each table of the store. */
+    readonly tableVersions: Readonly<Record<string, number>>;
 }
 
 interface Member {
@@ -34,6 +36,7 @@
     inFlight: Readonly<Record<string, number>>;
     awayShares: Readonly<Record<string, number>>;
     hasStoreMillis: number | undefined;
+    tableVersions: Readonly<Record<string, number>>;
 }
 
 /** The other instances, as far as this one knows. */
@@ -80,7 +83,8 @@
                     heardAtMillis: undefined,
                     inFlight: {},
                     awayShares: {},
-                    hasStoreMillis: undefined
+                    hasStoreMillis: undefined,
+                    tableVersions: {}
                 });
             }
             else if (member.heardAtMillis === undefined) {
--- a/packages/endivebridge-traffic/src/__tests__/unit/Traffic.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Traffic.test.ts
@@ -126,6 +126,7 @@
     inFlight: {},
     awayShares: {},
     hasStoreMillis: undefined,
+    tableVersions: {},
     ...changes
 });
 
