--- a/packages/endivebridge-daemon/src/HopByHop.ts
+++ b/packages/endivebridge-daemon/src/HopByHop.ts
@@ -1,18 +1,6 @@
-const hopByHop = new Set([
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "host",
-    "content-length",
-    "expect"
-]);
+import { isConnectionHeader } from "@endivebridge/shared";
 
-/** Whether a header concerns one connection only and is not passed on (RFC 9110, section 7.6.1). */
+/** Whether a header is not passed on to a backend server; its host is the server's own. */
 export function isHopByHop(name: string): boolean {
-    return hopByHop.has(name.toLowerCase());
+    return isConnectionHeader(name) || name.toLowerCase() === "host";
 }
--- a/packages/endivebridge-gateway/src/CallerRequest.ts
+++ b/packages/endivebridge-gateway/src/CallerRequest.ts
@@ -1,3 +1,4 @@
+import { isConnectionHeader } from "@endivebridge/shared";
 import { hashText, type Route } from "@endivebridge/traffic";
 import { createHash } from "node:crypto";
 import type { IncomingMessage } from "node:http";
@@ -19,21 +20,6 @@
     readonly affinityKey: string | undefined;
 }
 
-/** Headers that concern one connection only (RFC 9110, section 7.6.1) or that the client library writes itself. */
-const connectionHeaders = new Set([
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "expect"
-]);
-
 /** End-to-end headers of a message, names and values by turns, in their own spelling and order. */
 export function endToEndHeaders(
     rawHeaders: readonly string[],
@@ -43,8 +29,7 @@
     const kept: [string, string][] = [];
     for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
         const name = rawHeaders[index]!;
-        const lower = name.toLowerCase();
-        if (!connectionHeaders.has(lower) && !named.includes(lower)) {
+        if (!isConnectionHeader(name) && !named.includes(name.toLowerCase())) {
             kept.push([name, rawHeaders[index + 1]!]);
         }
     }
--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -14,7 +14,6 @@
     makeWorkEstimates,
     type MemberRecord,
     type RetryBudgetLimits,
-    type TrackedServer,
     type TrafficConfiguration
 } from "@endivebridge/traffic";
 import { randomBytes } from "node:crypto";
@@ -24,6 +23,7 @@
 import type { EventLog } from "./EventLog";
 import type { GatewayMetrics } from "./GatewayMetrics";
 import { memberLiveMillis, startPeerExchange } from "./PeerExchange";
+import { makeRegionBalancing } from "./RegionBalancing";
 import { runRequest } from "./RunRequest";
 import { ServerConnections } from "./ServerConnections";
 
@@ -74,10 +74,6 @@
 const mostIdleRemoteMillis = 6_000;
 /** Regions are compared this often. */
 const balanceTurnMillis = 200;
-/** Weight of the newest look at how busy servers are: about a second of memory. */
-const newestUseWeight = 0.25;
-/** Part of the share that callers and servers of a region suggest before anything is measured. */
-const firstShareFactor = 0.8;
 /** Those who wait are looked at this often, besides each time that a slot is freed. */
 const waitingTurnMillis = 25;
 const offerGatherMillis = 4;
@@ -100,7 +96,7 @@
 ): Gateway {
     const { own } = settings;
     const pool = makeServerPool();
-    const members = makeMembers(own.name, record => memberLiveMillis(own.region, members.known().length)(record));
+    const members = makeMembers(own.name, (record, known) => memberLiveMillis(own.region, record, known));
     const poison = makePoisonList();
     const estimates = makeWorkEstimates();
     const waitingRoom = makeWaitingRoom();
@@ -228,34 +224,17 @@
     const hasStoreMillis = (): number | undefined =>
         hasStoreSinceMillis === undefined ? undefined : Math.round(monotonicMillis() - hasStoreSinceMillis);
 
-    const uses = new Map<string, number>();
-
-    const balanceRegions = () => {
-        const nowMillis = monotonicMillis();
-        for (const name of serviceNames()) {
-            const load = regionLoads(
-                pool.ofService(name).filter(tracked =>
-                    !tracked.server.isLeaving && !evacuated.has(tracked.server.failureDomain)
-                )
-            );
-            let others: number | undefined;
-            for (const [region, { slots, inFlight }] of load) {
-                const key = `${name} ${region}`;
-                const use = inFlight / slots;
-                const smooth = (uses.get(key) ?? use) * (1 - newestUseWeight) + use * newestUseWeight;
-                uses.set(key, smooth);
-                if (region !== own.region) {
-                    others = Math.min(others ?? Infinity, smooth);
-                }
-            }
-            const peersShare = members.meanAwayShare(own.region, name, nowMillis);
-            if (load.size > 0) {
-                balance.begin(name, peersShare ?? firstAwayShare(settings.regionOfDomain, own.region, load));
-            }
-            const ownUse = uses.get(`${name} ${own.region}`) ?? 0;
-            balance.adjust(name, { own: ownUse, others }, peersShare, nowMillis);
-        }
-    };
+    const balanceRegions = makeRegionBalancing({
+        own,
+        regionOfDomain: settings.regionOfDomain,
+        serviceNames,
+        usableServers: name =>
+            pool.ofService(name).filter(tracked =>
+                !tracked.server.isLeaving && !evacuated.has(tracked.server.failureDomain)
+            ),
+        members,
+        balance
+    });
     const balanceTimer = setInterval(balanceRegions, balanceTurnMillis);
 
     const peers = startPeerExchange({
@@ -399,35 +378,3 @@
         }
     };
 }
-
-interface RegionLoad {
-    slots: number;
-    inFlight: number;
-}
-
-function regionLoads(servers: readonly TrackedServer[]): Map<string, RegionLoad> {
-    const loads = new Map<string, RegionLoad>();
-    for (const { server, ownInFlight, peersInFlight } of servers) {
-        const load = loads.get(server.region) ?? { slots: 0, inFlight: 0 };
-        load.slots += server.slots;
-        load.inFlight += ownInFlight + peersInFlight;
-        loads.set(server.region, load);
-    }
-    return loads;
-}
-
-/**
- * Share that would even out the regions if all failure domains had as many callers. It is corrected as soon as load is
- * measured.
- */
-function firstAwayShare(
-    regionOfDomain: ReadonlyMap<string, string>,
-    ownRegion: string,
-    loads: ReadonlyMap<string, RegionLoad>
-): number {
-    const regions = [...regionOfDomain.values()];
-    const callerShare = regions.filter(region => region === ownRegion).length / Math.max(1, regions.length);
-    const allSlots = [...loads.values()].reduce((sum, load) => sum + load.slots, 0);
-    const slotShare = (loads.get(ownRegion)?.slots ?? 0) / Math.max(1, allSlots);
-    return callerShare > 0 ? Math.max(0, 1 - slotShare / callerShare) * firstShareFactor : 0;
-}
--- /dev/null
+++ b/packages/endivebridge-gateway/src/LearnFromSend.ts
@@ -0,0 +1,74 @@
+import { monotonicMillis } from "@endivebridge/shared";
+import {
+    currentSlowness,
+    type Placed,
+    type Route,
+    type Service,
+    type TrackedServer,
+    type WorkEstimates
+} from "@endivebridge/traffic";
+import type { Dialect } from "./Dialect";
+import type { ExchangeOutcome, ServerAnswer } from "./Exchange";
+
+/** One send that has ended. */
+export interface EndedSend {
+    readonly route: Route;
+    readonly service: Service;
+    readonly placed: Placed;
+    readonly outcome: ExchangeOutcome;
+    readonly tookMillis: number;
+    /** Whether servers answer faster for the request's key once they have handled it. */
+    readonly isWarmable: boolean;
+}
+
+/** What learning needs. */
+export interface LearnParts {
+    readonly dialect: Dialect;
+    readonly estimates: WorkEstimates;
+}
+
+/** A server is passed over for this long after a failed connection, twice as long after each further one. */
+const avoidMillis = 200;
+const mostAvoidMillis = 2_000;
+/** Weight of the newest outcome in a server's share of failures. */
+const newestOutcomeWeight = 0.15;
+
+/** Takes in what a send showed of its server: whether it is there, fails, how slow it is and how long its work takes. */
+export function learnFromSend(parts: LearnParts, send: EndedSend): void {
+    const { outcome, service } = send;
+    const { tracked } = send.placed;
+    const nowMillis = monotonicMillis();
+    if (outcome.kind === "cancelled") {
+        return;
+    }
+    const isFailure = outcome.kind !== "answered" || outcome.answer.isNotExecuted || outcome.answer.status >= 500;
+    tracked.failureShare += newestOutcomeWeight * ((isFailure ? 1 : 0) - tracked.failureShare);
+    if (outcome.kind === "unreachable") {
+        tracked.failedConnections += 1;
+        const pauseMillis = Math.min(mostAvoidMillis, avoidMillis * 2 ** (tracked.failedConnections - 1));
+        tracked.avoidUntilMillis = nowMillis + pauseMillis;
+    }
+    if (outcome.kind === "answered") {
+        if (tracked.failedConnections > 0) {
+            // It may have been restarted, and is cold until the platform's word on it is newer.
+            tracked.failedConnections = 0;
+            tracked.coldUntilMillis = Math.max(tracked.coldUntilMillis, nowMillis + service.coldStartMillis);
+        }
+        learnLoad(parts.dialect, tracked, outcome.answer, nowMillis);
+        const ranWell = outcome.answer.isSigned && !isFailure;
+        // What other regions answer includes the way there.
+        if (ranWell && !send.placed.isRemote) {
+            const rank = send.isWarmable ? send.placed.rank : 0;
+            parts.estimates.learn(send.route, rank, send.tookMillis / currentSlowness(tracked, nowMillis));
+        }
+    }
+}
+
+function learnLoad(dialect: Dialect, tracked: TrackedServer, { headers }: ServerAnswer, nowMillis: number): void {
+    const text = headers[dialect.serverLoadHeader];
+    const load = typeof text === "string" ? dialect.parseServerLoad(text) : undefined;
+    if (load !== undefined) {
+        tracked.slowness = load.slowness;
+        tracked.slownessAtMillis = nowMillis;
+    }
+}
--- a/packages/endivebridge-gateway/src/PeerExchange.ts
+++ b/packages/endivebridge-gateway/src/PeerExchange.ts
@@ -67,10 +67,14 @@
 const mostMembersInMessage = 40;
 const mostCrashesInMessage = 8;
 
-/** How long a member counts as live after it was last heard. */
-export function memberLiveMillis(ownRegion: string, members: number): (record: MemberRecord) => number {
-    const factor = Math.max(1, members / membersAtFullRate);
-    return record => (record.region === ownRegion ? 1_200 : 2_500) * Math.min(2, factor);
+/** Several messages may be lost before an instance of the own region, or of another one, is taken to be gone. */
+const nearLiveMillis = 1_200;
+const farLiveMillis = 2_500;
+
+/** How long a member counts as live after it was last heard; longer where there are many and messages are rarer. */
+export function memberLiveMillis(ownRegion: string, member: MemberRecord, members: number): number {
+    const factor = Math.max(1, Math.min(2, members / membersAtFullRate));
+    return (member.region === ownRegion ? nearLiveMillis : farLiveMillis) * factor;
 }
 
 /** Starts the exchange on the own peer address. */
--- /dev/null
+++ b/packages/endivebridge-gateway/src/RegionBalancing.ts
@@ -0,0 +1,87 @@
+import { monotonicMillis } from "@endivebridge/shared";
+import type { MemberRecord, Members, RegionBalance, TrackedServer } from "@endivebridge/traffic";
+
+/** What the comparison of regions needs. */
+export interface RegionBalancingParts {
+    readonly own: MemberRecord;
+    readonly regionOfDomain: ReadonlyMap<string, string>;
+    readonly serviceNames: () => readonly string[];
+    /** Servers of a service that take new requests. */
+    readonly usableServers: (service: string) => readonly TrackedServer[];
+    readonly members: Members;
+    readonly balance: RegionBalance;
+}
+
+/** Weight of the newest look at how busy servers are: about a second of memory. */
+const newestUseWeight = 0.25;
+/** Part of the share that callers and servers of a region suggest before anything is measured. */
+const firstShareFactor = 0.8;
+
+/** Makes the turn that compares how busy regions are and moves the shares of services between them. */
+export function makeRegionBalancing(parts: RegionBalancingParts): () => void {
+    const uses = new Map<string, number>();
+
+    const smoothUse = (service: string, region: string, { slots, inFlight }: RegionLoad): number => {
+        const key = `${service} ${region}`;
+        const use = inFlight / slots;
+        const smooth = (uses.get(key) ?? use) * (1 - newestUseWeight) + use * newestUseWeight;
+        uses.set(key, smooth);
+        return smooth;
+    };
+
+    return () => {
+        const nowMillis = monotonicMillis();
+        for (const name of parts.serviceNames()) {
+            const loads = regionLoads(parts.usableServers(name));
+            let ownUse = 0;
+            let others: number | undefined;
+            for (const [region, load] of loads) {
+                const use = smoothUse(name, region, load);
+                if (region === parts.own.region) {
+                    ownUse = use;
+                }
+                else {
+                    others = Math.min(others ?? Infinity, use);
+                }
+            }
+            const peersShare = parts.members.meanAwayShare(parts.own.region, name, nowMillis);
+            if (loads.size > 0) {
+                const first = firstAwayShare(parts.regionOfDomain, parts.own.region, loads);
+                parts.balance.begin(name, peersShare ?? first);
+            }
+            parts.balance.adjust(name, { own: ownUse, others }, peersShare, nowMillis);
+        }
+    };
+}
+
+interface RegionLoad {
+    slots: number;
+    inFlight: number;
+}
+
+function regionLoads(servers: readonly TrackedServer[]): Map<string, RegionLoad> {
+    const loads = new Map<string, RegionLoad>();
+    for (const { server, ownInFlight, peersInFlight } of servers) {
+        const load = loads.get(server.region) ?? { slots: 0, inFlight: 0 };
+        load.slots += server.slots;
+        load.inFlight += ownInFlight + peersInFlight;
+        loads.set(server.region, load);
+    }
+    return loads;
+}
+
+/**
+ * Share that would even out the regions if all failure domains had as many callers. It is corrected as soon as load is
+ * measured.
+ */
+function firstAwayShare(
+    regionOfDomain: ReadonlyMap<string, string>,
+    ownRegion: string,
+    loads: ReadonlyMap<string, RegionLoad>
+): number {
+    const regions = [...regionOfDomain.values()];
+    const callerShare = regions.filter(region => region === ownRegion).length / Math.max(1, regions.length);
+    const allSlots = [...loads.values()].reduce((sum, load) => sum + load.slots, 0);
+    const slotShare = (loads.get(ownRegion)?.slots ?? 0) / Math.max(1, allSlots);
+    return callerShare > 0 ? Math.max(0, 1 - slotShare / callerShare) * firstShareFactor : 0;
+}
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -1,7 +1,6 @@
 import type { PoisonList } from "@endivebridge/core";
 import { monotonicMillis } from "@endivebridge/shared";
 import {
-    currentSlowness,
     type Members,
     type Placed,
     type Placement,
@@ -19,6 +18,7 @@
 import { type Exchange, type ExchangeOutcome, isRefused, type ServerAnswer, startExchange } from "./Exchange";
 import type { FinalAnswerKind } from "./FinalAnswers";
 import type { GatewayMetrics } from "./GatewayMetrics";
+import { learnFromSend } from "./LearnFromSend";
 import type { ServerConnections } from "./ServerConnections";
 
 /** A request with the route and service that the configuration gave it. */
@@ -76,11 +76,6 @@
 const connectTimeoutMillis = 400;
 /** Beyond the length of the way to another region. */
 const remoteConnectTimeoutMillis = 700;
-/** A server is passed over for this long after a failed connection, twice as long after each further one. */
-const avoidMillis = 200;
-const mostAvoidMillis = 2_000;
-/** Weight of the newest outcome in a server's share of failures. */
-const newestOutcomeWeight = 0.15;
 /** A crash within this time of the send is blamed on the request; later the server was at work on others too. */
 const crashBlameMillis = 400;
 /** A server that crashes this soon after a send crashed as it began to run the request. */
@@ -209,43 +204,9 @@
 
     /** Takes in what a send showed of its server. */
     const learn = (placed: Placed, outcome: ExchangeOutcome, tookMillis: number) => {
-        const { tracked } = placed;
-        const nowMillis = monotonicMillis();
-        tracked.ownInFlight -= 1;
-        const isFailure = outcome.kind === "answered"
-            ? outcome.answer.isNotExecuted || outcome.answer.status >= 500
-            : outcome.kind !== "cancelled";
-        if (outcome.kind !== "cancelled") {
-            tracked.failureShare += newestOutcomeWeight * ((isFailure ? 1 : 0) - tracked.failureShare);
-        }
-        if (outcome.kind === "unreachable") {
-            tracked.failedConnections += 1;
-            const pauseMillis = Math.min(mostAvoidMillis, avoidMillis * 2 ** (tracked.failedConnections - 1));
-            tracked.avoidUntilMillis = nowMillis + pauseMillis;
-        }
-        if (outcome.kind === "answered") {
-            if (tracked.failedConnections > 0) {
-                // It may have been restarted, and is cold until the platform's word on it is newer.
-                tracked.failedConnections = 0;
-                tracked.coldUntilMillis = Math.max(tracked.coldUntilMillis, nowMillis + service.coldStartMillis);
-            }
-            const { answer } = outcome;
-            const loadText = answer.headers[parts.dialect.serverLoadHeader];
-            const load = typeof loadText === "string" ? parts.dialect.parseServerLoad(loadText) : undefined;
-            if (load !== undefined) {
-                tracked.slowness = load.slowness;
-                tracked.slownessAtMillis = nowMillis;
-                tracked.reportedWaiting = load.waiting;
-            }
-            if (answer.isSigned && answer.status < 500) {
-                const distanceMillis = placed.isRemote ? placed.expectedMillis : 0;
-                if (distanceMillis === 0) {
-                    const slowness = currentSlowness(tracked, nowMillis);
-                    const rank = keyHash === undefined ? 0 : placed.rank;
-                    parts.estimates.learn(route, rank, tookMillis / slowness);
-                }
-            }
-        }
+        placed.tracked.ownInFlight -= 1;
+        const isWarmable = keyHash !== undefined;
+        learnFromSend(parts, { route, service, placed, outcome, tookMillis, isWarmable });
         parts.metrics.attempts.inc({ service: service.name, outcome: outcome.kind });
         parts.serveWaiting(service.name);
     };
@@ -297,15 +258,20 @@
         }
         parts.retryBudget.countRequest(service.name, monotonicMillis());
         for (let isNew = true; !isOver; isNew = false) {
-            const place0 = await place(isNew);
-            if (place0.kind === "ended") {
+            const found = await place(isNew);
+            if (found.kind === "ended") {
+                return;
+            }
+            if (found.kind === "refused") {
+                endWith(mayHaveRun ? "answerLost" : refusalAnswers[found.reason], found.retryAfterMillis);
                 return;
             }
-            if (place0.kind === "refused") {
-                endWith(mayHaveRun ? "answerLost" : refusalAnswers[place0.reason], place0.retryAfterMillis);
+            const { placed } = found;
+            if (isOver) {
+                // The caller left as the slot was given to it.
+                placed.tracked.ownInFlight -= 1;
                 return;
             }
-            const { placed } = place0;
             const sentMillis = monotonicMillis();
             parts.metrics.queueWait.observe({ service: service.name }, (sentMillis - arrivedMillis) / 1_000);
             const outcome = await send(placed);
--- a/packages/endivebridge-traffic/src/Members.ts
+++ b/packages/endivebridge-traffic/src/Members.ts
@@ -58,12 +58,16 @@
     readonly meanAwayShare: (region: string, service: string, nowMillis: number) => number | undefined;
 }
 
-/** Makes an empty list; `liveMillis` is how long a member counts as live after it was last heard. */
-export function makeMembers(ownName: string, liveMillis: (record: MemberRecord) => number): Members {
+/** How long a member counts as live after it was last heard, among so many known ones. */
+export type LiveMillis = (record: MemberRecord, known: number) => number;
+
+/** Makes an empty list. */
+export function makeMembers(ownName: string, liveMillis: LiveMillis): Members {
     const members = new Map<string, Member>();
 
     const isLive = (member: Member, nowMillis: number): boolean =>
-        member.heardAtMillis !== undefined && nowMillis - member.heardAtMillis <= liveMillis(member.record);
+        member.heardAtMillis !== undefined
+        && nowMillis - member.heardAtMillis <= liveMillis(member.record, members.size);
 
     const records = (keep: (member: Member) => boolean): readonly MemberRecord[] =>
         [...members.values()].filter(keep).map(member => member.record);
--- a/packages/endivebridge-traffic/src/ServerPool.ts
+++ b/packages/endivebridge-traffic/src/ServerPool.ts
@@ -12,7 +12,7 @@
     readonly slots: number;
     readonly isLeaving: boolean;
     /** How much longer the server stays cold, counted from when this was learned. */
-    readonly coldLeftMillis: number;
+    readonly coldRemainingMillis: number;
     /** Start of this incarnation on the server's own wall clock; only compared with others of the same id. */
     readonly bornEpochMillis: number;
 }
@@ -28,8 +28,6 @@
     /** Time that work takes at present relative to usual; 1 is usual. */
     slowness: number;
     slownessAtMillis: number;
-    /** Requests that waited inside the server when it last answered. */
-    reportedWaiting: number;
     coldUntilMillis: number;
     /** After failed connections the server is passed over until then. */
     avoidUntilMillis: number;
@@ -81,8 +79,7 @@
         peersInFlight: 0,
         slowness: 1,
         slownessAtMillis: nowMillis,
-        reportedWaiting: 0,
-        coldUntilMillis: nowMillis + server.coldLeftMillis,
+        coldUntilMillis: nowMillis + server.coldRemainingMillis,
         avoidUntilMillis: 0,
         failedConnections: 0,
         failureShare: 0
@@ -101,7 +98,7 @@
             const known = byId.get(server.id);
             if (known !== undefined && isSameIncarnation(known.server, server)) {
                 // Requests in flight hold the tracked server, so it is updated in place.
-                const coldUntilMillis = Math.max(known.coldUntilMillis, nowMillis + server.coldLeftMillis);
+                const coldUntilMillis = Math.max(known.coldUntilMillis, nowMillis + server.coldRemainingMillis);
                 return Object.assign(known, { server, coldUntilMillis });
             }
             if (known !== undefined) {
--- a/packages/endivebridge-traffic/src/__tests__/unit/Placement.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Placement.test.ts
@@ -122,7 +122,7 @@
 });
 
 test("a cold server takes no more than this instance's part of its rate, and none from other regions", t => {
-    const { placement } = makePlacementSample([{ id: "s1", coldLeftMillis: 10_000, slots: 100 }]);
+    const { placement } = makePlacementSample([{ id: "s1", coldRemainingMillis: 10_000, slots: 100 }]);
     let taken = 0;
     for (let nowMillis = 0; nowMillis <= 3_000; nowMillis += 10) {
         const chosen = placement.choose(request(), nowMillis);
@@ -136,7 +136,7 @@
         id: "far",
         region: "kootenay",
         failureDomain: "kootenay-a",
-        coldLeftMillis: 10_000
+        coldRemainingMillis: 10_000
     }]);
     t.is(remote.placement.choose(request(), 5_000), "all busy");
 });
--- a/packages/endivebridge-traffic/src/__tests__/unit/Samples.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Samples.ts
@@ -41,7 +41,7 @@
         region: "fraser",
         slots: 4,
         isLeaving: false,
-        coldLeftMillis: 0,
+        coldRemainingMillis: 0,
         bornEpochMillis: 0,
         ...changes
     };
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,3 +1,4 @@
+export { isConnectionHeader } from "./ConnectionHeaders";
 export { type HttpAnswer, type HttpCall, httpExchange, type HttpFailure } from "./HttpExchange";
 export { invariant } from "./Invariant";
 export { mergeTeardowns, type Teardown } from "./MergeTeardowns";
