--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -76,8 +76,9 @@
 const balanceTurnMillis = 200;
 /** Those who wait are looked at this often, besides each time that a slot is freed. */
 const waitingTurnMillis = 25;
+/** Slots that become free within this time are offered together; small beside any work. */
 const offerGatherMillis = 4;
-/** First guess of the round trip to another region; connections measure it. */
+/** Round trip to another region as both deployments state it, 55 ms one way; it is not measured yet. */
 const otherRegionRoundTripMillis = 110;
 /** Before the end by force, new requests are refused for this long, so that what is under way can end. */
 const refuseBeforeEndMillis = 2_000;
