Keys keep one warm copy a region, not one a failure domain

Cause: where every failure domain of a region had four servers of a service, each kept its own copies of all keys. Ruled out: waiting (4% of requests refused or failed) and distance (1 ms inside a region). Change: the servers of a region are one order for each key. A cold server that only its own domain's instances may warm up has no place in the order of the others, so that its keys go to the next one at once instead of waiting.

--- a/packages/endivebridge-traffic/src/Placement.ts
+++ b/packages/endivebridge-traffic/src/Placement.ts
@@ -21,7 +21,7 @@
 /** A backend server chosen for a request. */
 export interface Placed {
     readonly tracked: TrackedServer;
-    /** The server's place in the key's rendezvous order within its failure domain; 0 is most likely warm. */
+    /** The server's place in the key's rendezvous order within its region; 0 is most likely warm. */
     readonly rank: number;
     readonly isRemote: boolean;
     readonly expectedMillis: number;
@@ -61,8 +61,6 @@
 /** Slots of a remote server that stay free for callers of its own region, whose news arrives late. */
 const remoteReservedSlots = 1;
 
-/** A failure domain with fewer servers of a service does not keep copies of all keys of its own. */
-const leastDomainServers = 4;
 /**
  * A key's second server will do once the request has waited this share of its objective for the first. There is no
  * third while these two can be used: work where a key is not warm takes several times as long, and pushes out what
@@ -85,9 +83,15 @@
 /**
  * Makes the placement of one instance. The load it answers: more work than the warm servers of a key can take, in a
  * region that may have fewer servers than its callers need. Work waits at instances, never inside servers, so a server
- * whose slots are taken is not chosen; keys keep to few servers of each failure domain, the same from every instance.
+ * whose slots are taken is not chosen; keys keep to few servers of each region, the same from every instance: a copy in
+ * each failure domain would take several times as long to become warm, and small ones could not hold all keys.
  */
 export function makePlacement(view: PlacementView): Placement {
+    /** Whether a cold server is left to others: to the instances of its failure domain. */
+    const isOthersToWarmUp = ({ server, coldUntilMillis }: TrackedServer, nowMillis: number): boolean =>
+        coldUntilMillis > nowMillis
+        && (server.region !== view.region || view.coldSharers(server.failureDomain) === 0);
+
     const isUsable = (tracked: TrackedServer, request: PlacementRequest, nowMillis: number): boolean =>
         !tracked.server.isLeaving
         && !view.isEvacuated(tracked.server.failureDomain)
@@ -104,7 +108,7 @@
     const canWarmUp = (tracked: TrackedServer, nowMillis: number): boolean => {
         const sharers = view.coldSharers(tracked.server.failureDomain);
         const rate = view.service(tracked.server.service)?.coldRequestsPerSecond ?? 0;
-        return sharers > 0 && tracked.coldLimit.canTake(rate / sharers, nowMillis);
+        return tracked.coldLimit.canTake(rate / sharers, nowMillis);
     };
 
     const costMillis = (request: PlacementRequest, tracked: TrackedServer, rank: number, nowMillis: number): number => {
@@ -131,12 +135,15 @@
     ): Placed | undefined => {
         const isRemote = tracked.server.region !== view.region;
         const isCold = tracked.coldUntilMillis > nowMillis;
-        return hasRoom(tracked, isRemote && isException) && !(isCold && (isRemote || !canWarmUp(tracked, nowMillis)))
+        return hasRoom(tracked, isRemote && isException) && !(isCold && !canWarmUp(tracked, nowMillis))
             ? { tracked, rank, isRemote, expectedMillis: costMillis(request, tracked, rank, nowMillis) }
             : undefined;
     };
 
-    /** The cheapest of the two servers that come first for a key; busy ones keep their place. */
+    /**
+     * The cheapest of the two servers that come first for a key; busy ones keep their place. A server that others warm
+     * up has none yet.
+     */
     const cheapestForKey = (
         request: PlacementRequest,
         keyHash: number,
@@ -150,7 +157,11 @@
         let secondWeight = -1;
         for (const tracked of servers) {
             const weight = mixHashes(tracked.hash, keyHash);
-            if (weight <= secondWeight || !isUsable(tracked, request, nowMillis)) {
+            if (
+                weight <= secondWeight
+                || !isUsable(tracked, request, nowMillis)
+                || isOthersToWarmUp(tracked, nowMillis)
+            ) {
                 continue;
             }
             if (weight > firstWeight) {
@@ -179,7 +190,7 @@
     ): Placed | undefined => {
         let best: Placed | undefined;
         for (const tracked of servers) {
-            if (isUsable(tracked, request, nowMillis)) {
+            if (isUsable(tracked, request, nowMillis) && !isOthersToWarmUp(tracked, nowMillis)) {
                 best = cheaper(best, place(request, tracked, 0, isException, nowMillis));
             }
         }
@@ -188,19 +199,13 @@
 
     const cheapestIn = (
         request: PlacementRequest,
-        orders: readonly (readonly TrackedServer[])[],
+        servers: readonly TrackedServer[],
         isException: boolean,
         nowMillis: number
-    ): Placed | undefined => {
-        let best: Placed | undefined;
-        for (const servers of orders) {
-            const placed = request.keyHash === undefined
-                ? cheapestOfAll(request, servers, isException, nowMillis)
-                : cheapestForKey(request, request.keyHash, servers, isException, nowMillis);
-            best = cheaper(best, placed);
-        }
-        return best;
-    };
+    ): Placed | undefined =>
+        request.keyHash === undefined
+            ? cheapestOfAll(request, servers, isException, nowMillis)
+            : cheapestForKey(request, request.keyHash, servers, isException, nowMillis);
 
     const layouts = new Map<string, { readonly servers: readonly TrackedServer[]; readonly layout: Layout; }>();
 
@@ -252,17 +257,17 @@
             }
             const home = homeOf(request, regions);
             let elsewhere: Placed | undefined;
-            for (const { region, orders } of regions) {
+            for (const { region, servers } of regions) {
                 if (region === home) {
-                    const placed = cheapestIn(request, orders, false, nowMillis);
+                    const placed = cheapestIn(request, servers, false, nowMillis);
                     if (placed !== undefined) {
                         return placed;
                     }
                 }
             }
-            for (const { region, orders } of regions) {
+            for (const { region, servers } of regions) {
                 if (region !== home) {
-                    elsewhere = cheaper(elsewhere, cheapestIn(request, orders, true, nowMillis));
+                    elsewhere = cheaper(elsewhere, cheapestIn(request, servers, true, nowMillis));
                 }
             }
             return elsewhere !== undefined && view.balance.tryExcept() ? elsewhere : "all busy";
@@ -281,8 +286,6 @@
     readonly region: string;
     readonly regionHash: number;
     readonly servers: readonly TrackedServer[];
-    /** Sets of servers that keys are spread over, each by itself. */
-    readonly orders: readonly (readonly TrackedServer[])[];
 }
 
 type Layout = readonly RegionServers[];
@@ -301,11 +304,10 @@
     return groups;
 }
 
-/** A large failure domain keeps a warm copy of each key of its own; small ones share theirs with the region. */
 function makeLayout(servers: readonly TrackedServer[]): Layout {
-    return [...groupBy(servers, tracked => tracked.server.region)].map(([region, inRegion]) => {
-        const domains = [...groupBy(inRegion, tracked => tracked.server.failureDomain).values()];
-        const areLarge = domains.every(domain => domain.length >= leastDomainServers);
-        return { region, regionHash: hashText(region), servers: inRegion, orders: areLarge ? domains : [inRegion] };
-    });
+    return [...groupBy(servers, tracked => tracked.server.region)].map(([region, inRegion]) => ({
+        region,
+        regionHash: hashText(region),
+        servers: inRegion
+    }));
 }
--- a/packages/endivebridge-traffic/src/__tests__/unit/Placement.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Placement.test.ts
@@ -32,6 +32,35 @@
     }
 });
 
+test("instances of different failure domains of a region send a key to the same server", t => {
+    const servers = range(12).map(index => ({ id: `s${index}`, failureDomain: index < 6 ? "fraser-a" : "fraser-b" }));
+    const here = makePlacementSample(servers);
+    const there = makePlacementSample(servers, { failureDomain: "fraser-b" });
+    for (const key of range(50)) {
+        const keyHash = hashText(`key-${key}`);
+        t.is(
+            idOf(here.placement.choose(request({ keyHash }), 0)),
+            idOf(there.placement.choose(request({ keyHash }), 0))
+        );
+    }
+});
+
+test("while a key's first server is cold and others warm it up, the next one takes its place at once", t => {
+    const servers = range(6).map(index => ({
+        id: `s${index}`,
+        failureDomain: index < 3 ? "fraser-a" : "fraser-b",
+        coldRemainingMillis: index < 3 ? 0 : 3_000
+    }));
+    const { placement } = makePlacementSample(servers, {
+        coldSharers: failureDomain => failureDomain === "fraser-a" ? 1 : 0
+    });
+    for (const key of range(50)) {
+        const chosen = placement.choose(request({ keyHash: hashText(`key-${key}`) }), 0) as Placed;
+        t.is(chosen.tracked.server.failureDomain, "fraser-a");
+        t.is(chosen.rank, 0);
+    }
+});
+
 test("a busy first server is waited for before the key warms up a second one", t => {
     const { pool, placement } = makePlacementSample(sixServers);
     const first = idOf(placement.choose(request(), 0));
