Instances are named only to whoever knows fewer

Cause: each second every message named up to 40 members, about seven kilobytes beside half a kilobyte of news, although the store's table and the newcomer's own messages make all instances known to each other. Change: messages say how many members their sender knows; lists go only to those who know fewer, a part at a time. Test: an instance that knows as many is told of none (failed first: 2 lists in 15 messages); one that knows fewer of all.

--- a/packages/endivebridge-gateway/src/PeerExchange.ts
+++ b/packages/endivebridge-gateway/src/PeerExchange.ts
@@ -23,7 +23,9 @@
     awayShares: record(string, number),
     hasStoreMillis: optional(number),
     tableVersions: record(string, number),
-    /** Other instances that the sender knows. */
+    /** How many other instances the sender knows. */
+    membersKnown: number,
+    /** Some of them, for a receiver that knows fewer. */
     members: optional(array(MemberRecordCodec)),
     /** Requests under which backend servers crashed. */
     crashes: optional(array(Codec.interface({ fingerprint: string, servers: array(string) })))
@@ -59,12 +61,12 @@
 const farIntervalMillis = 500;
 /** Members beyond which intervals grow, so that messages a second do not grow with the square of the members. */
 const membersAtFullRate = 8;
-/** Known members travel along this often. */
-const introduceIntervalMillis = 1_000;
 /** Instances that were never heard are tried at this interval. */
 const unheardIntervalMillis = 1_000;
 /** Keeps a message within one datagram. */
 const mostMembersInMessage = 40;
+/** An instance that knows fewer members than this one is told of some at most this often. */
+const introduceIntervalMillis = 1_000;
 const mostCrashesInMessage = 8;
 
 /** Several messages may be lost before an instance of the own region, or of another one, is taken to be gone. */
@@ -83,7 +85,8 @@
     let sequence = 0;
     let isClosed = false;
     const lastSentMillis = new Map<string, number>();
-    let introducedMillis = 0;
+    const introductions = makeIntroductions(parts.members);
+    let soughtMillis = 0;
 
     socket.on("error", error => parts.log.warn("peer socket", { error: error.message }, "peer socket failed"));
     socket.on("message", datagram => {
@@ -97,6 +100,7 @@
         const isNews = parts.members.hear(report, nowMillis);
         message.members?.forEach(parts.members.introduce);
         if (isNews) {
+            introductions.note(report.record.name, message.membersKnown);
             parts.onReport(report);
         }
         if (message.crashes !== undefined && message.crashes.length > 0) {
@@ -104,7 +108,7 @@
         }
     });
 
-    const message = (withMembers: boolean): Buffer => {
+    const message = (introduced: readonly MemberRecord[]): Buffer => {
         sequence += 1;
         const crashes = parts.crashes().slice(-mostCrashesInMessage);
         const { isReady, inFlight, awayShares, hasStoreMillis, tableVersions } = parts.describeSelf();
@@ -117,7 +121,8 @@
             awayShares: { ...awayShares },
             hasStoreMillis,
             tableVersions: { ...tableVersions },
-            members: withMembers ? [...parts.members.known()].slice(0, mostMembersInMessage) : undefined,
+            membersKnown: parts.members.known().length,
+            members: introduced.length > 0 ? [...introduced] : undefined,
             crashes: crashes.length > 0 ? crashes.map(crash => ({ ...crash, servers: [...crash.servers] })) : undefined
         };
         return Buffer.from(JSON.stringify(content));
@@ -134,10 +139,6 @@
         const nowMillis = monotonicMillis();
         const live = new Set(parts.members.live(nowMillis).map(member => member.name));
         const factor = Math.max(1, live.size / membersAtFullRate);
-        const introduces = nowMillis - introducedMillis >= introduceIntervalMillis;
-        if (introduces) {
-            introducedMillis = nowMillis;
-        }
         let bytes: Buffer | undefined;
         for (const member of parts.members.known()) {
             const intervalMillis = !live.has(member.name)
@@ -147,14 +148,20 @@
                 : farIntervalMillis * factor;
             const dueMillis = (lastSentMillis.get(member.name) ?? -Infinity) + intervalMillis - turnMillis / 2;
             if (sendToAll || nowMillis >= dueMillis) {
-                bytes ??= message(introduces);
                 lastSentMillis.set(member.name, nowMillis);
+                const introduced = introductions.next(member.name, nowMillis);
+                if (introduced.length > 0) {
+                    transmit(message(introduced), member.host, member.peerPort);
+                    continue;
+                }
+                bytes ??= message([]);
                 transmit(bytes, member.host, member.peerPort);
             }
         }
-        if (live.size === 0 && introduces) {
+        if (live.size === 0 && nowMillis - soughtMillis >= unheardIntervalMillis) {
+            soughtMillis = nowMillis;
             for (const seed of parts.seeds) {
-                transmit(message(true), seed.host, seed.port);
+                transmit(message([]), seed.host, seed.port);
             }
         }
     };
@@ -172,6 +179,43 @@
     };
 }
 
+/** Which members another instance should be told of. */
+interface Introductions {
+    readonly note: (name: string, membersKnown: number) => void;
+    readonly next: (name: string, nowMillis: number) => readonly MemberRecord[];
+}
+
+/** Tells whoever knows fewer members than this instance, a part at a time; it then reaches them itself. */
+function makeIntroductions(members: Members): Introductions {
+    const others = new Map<string, { membersKnown: number; named: number; atMillis: number; }>();
+    return {
+        note: (name, membersKnown) => {
+            const other = others.get(name);
+            if (other === undefined) {
+                others.set(name, { membersKnown, named: 0, atMillis: -Infinity });
+            }
+            else {
+                other.membersKnown = membersKnown;
+            }
+        },
+        next: (name, nowMillis) => {
+            const known = members.known();
+            const other = others.get(name);
+            if (
+                other === undefined || other.membersKnown >= known.length
+                || nowMillis - other.atMillis < introduceIntervalMillis
+            ) {
+                return [];
+            }
+            const first = other.named % known.length;
+            const named = known.slice(first, first + mostMembersInMessage);
+            other.named = first + named.length;
+            other.atMillis = nowMillis;
+            return named.filter(member => member.name !== name);
+        }
+    };
+}
+
 function decode(datagram: Buffer): PeerMessage | undefined {
     try {
         return PeerMessage.decode(JSON.parse(datagram.toString("utf8"))).toMaybe().extract();
--- /dev/null
+++ b/packages/endivebridge-gateway/src/__tests__/unit/PeerExchange.test.ts
@@ -0,0 +1,92 @@
+import { range } from "@endivebridge/shared";
+import { makeMembers, type MemberRecord } from "@endivebridge/traffic";
+import test from "ava";
+import { createSocket, type Socket } from "node:dgram";
+import { once } from "node:events";
+import { makeEventLog } from "../../EventLog";
+import { type PeerMessage, startPeerExchange } from "../../PeerExchange";
+
+const host = "127.0.0.1";
+
+function memberRecord(name: string, peerPort: number): MemberRecord {
+    return { name, host, peerPort, callerAddress: `${host}:1`, failureDomain: "fraser-a", region: "fraser" };
+}
+
+function portOf(socket: Socket): number {
+    return socket.address().port;
+}
+
+async function openSocket(): Promise<Socket> {
+    const socket = createSocket("udp4");
+    socket.bind(0, host);
+    await once(socket, "listening");
+    return socket;
+}
+
+/** Answers each message of an instance as a peer that knows so many members; gives the messages that came. */
+async function talkToInstance(membersKnown: number, messages: number): Promise<readonly PeerMessage[]> {
+    const peer = await openSocket();
+    const instance = await openSocket();
+    const instancePort = portOf(instance);
+    await new Promise<void>(resolve => instance.close(resolve));
+    const members = makeMembers("own", () => 60_000);
+    const own = memberRecord("own", instancePort);
+    const record = memberRecord("peer", portOf(peer));
+    // Nobody listens at these; they are only known.
+    range(5).forEach(index => members.introduce(memberRecord(`other-${index}`, 9)));
+    members.introduce(record);
+    const exchange = startPeerExchange({
+        own,
+        incarnation: "first",
+        members,
+        seeds: [],
+        describeSelf: () => ({
+            isReady: true,
+            inFlight: {},
+            awayShares: {},
+            hasStoreMillis: undefined,
+            tableVersions: {}
+        }),
+        crashes: () => [],
+        onReport: () => undefined,
+        onCrashes: () => undefined,
+        log: makeEventLog("test", "own", { write: () => undefined, takeDropped: () => 0 })
+    });
+    const seen: PeerMessage[] = [];
+    await new Promise<void>(resolve => {
+        peer.on("message", datagram => {
+            seen.push(JSON.parse(datagram.toString("utf8")) as PeerMessage);
+            const answer: PeerMessage = {
+                record,
+                incarnation: "life",
+                sequence: seen.length,
+                isReady: true,
+                inFlight: {},
+                awayShares: {},
+                hasStoreMillis: undefined,
+                tableVersions: {},
+                membersKnown,
+                members: undefined,
+                crashes: undefined
+            };
+            peer.send(JSON.stringify(answer), instancePort, host);
+            if (seen.length === messages) {
+                resolve();
+            }
+        });
+    });
+    exchange.close();
+    await new Promise<void>(resolve => peer.close(resolve));
+    return seen;
+}
+
+test("an instance that knows fewer members is told of the others", async t => {
+    const messages = await talkToInstance(1, 4);
+    const named = messages.flatMap(message => message.members ?? []).map(({ name }) => name);
+    t.deepEqual([...new Set(named)].sort(), range(5).map(index => `other-${index}`));
+});
+
+test("an instance that knows as many members is told of none, however long it listens", async t => {
+    const messages = await talkToInstance(6, 15);
+    t.is(messages.filter(message => message.members !== undefined).length, 0);
+});
