An instance that cannot reach the store starts from what a sibling believes

Change: instances tell what they believe (configuration, backend servers, evacuations) on their peer port; one that has just started and is not informed asks live siblings, the nearest first. What the store says goes before it: a sibling's word is taken only while nothing is known. What is believed is a module of its own, so that Gateway.ts only puts parts together.

--- /dev/null
+++ b/packages/endivebridge-gateway/src/BeliefTransfer.ts
@@ -0,0 +1,112 @@
+import type { Teardown } from "@endivebridge/shared";
+import { createServer, get } from "node:http";
+import { type Either, Left } from "purify-ts";
+import { Beliefs } from "./Beliefs";
+import type { EventLog } from "./EventLog";
+
+/** Where another instance tells what it believes. */
+export interface BeliefSource {
+    readonly name: string;
+    readonly host: string;
+    readonly peerPort: number;
+}
+
+const path = "/beliefs";
+/** The store is asked first; it answers within this time of the start unless it is away. */
+const firstAskMillis = 400;
+const askIntervalMillis = 300;
+/** A sibling's answer of a few hundred kilobytes takes this long on the slowest link. */
+const answerTimeoutMillis = 1_500;
+/** Larger than any set of beliefs: a configuration of thousands of routes is below a megabyte. */
+const mostAnswerBytes = 16_777_216;
+
+/** Tells instances that have just started what this one believes; nothing while it does not know enough itself. */
+export function serveBeliefs(host: string, port: number, describe: () => Beliefs | undefined, log: EventLog): Teardown {
+    const server = createServer((request, response) => {
+        const beliefs = request.url === path ? describe() : undefined;
+        if (beliefs === undefined) {
+            response.writeHead(request.url === path ? 503 : 404, { "Content-Length": 0 }).end();
+            return;
+        }
+        const body = JSON.stringify(Beliefs.encode(beliefs));
+        response.writeHead(200, { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(body) });
+        response.end(body);
+    });
+    server.on("error", error => log.warn("beliefs", { error: error.message }, "cannot tell others what is believed"));
+    server.listen(port, host);
+    return () => {
+        server.close();
+        server.closeAllConnections();
+    };
+}
+
+/** Asks one instance what it believes. */
+export function askBeliefs({ host, peerPort }: BeliefSource): Promise<Either<string, Beliefs>> {
+    return new Promise(resolve => {
+        const finish = (result: Either<string, Beliefs>) => {
+            clearTimeout(timer);
+            resolve(result);
+            request.destroy();
+        };
+        const request = get({ host, port: peerPort, path, agent: false }, response => {
+            const chunks: Buffer[] = [];
+            let length = 0;
+            response.on("data", (chunk: Buffer) => {
+                chunks.push(chunk);
+                length += chunk.length;
+                if (length > mostAnswerBytes) {
+                    finish(Left("answer too long"));
+                }
+            });
+            response.on("error", error => finish(Left(error.message)));
+            response.on("end", () => {
+                finish(
+                    response.statusCode === 200 ? decode(Buffer.concat(chunks)) : Left(`status ${response.statusCode}`)
+                );
+            });
+        });
+        const timer = setTimeout(() => finish(Left("no answer in time")), answerTimeoutMillis);
+        request.on("error", error => finish(Left(error.message)));
+    });
+}
+
+function decode(body: Buffer): Either<string, Beliefs> {
+    try {
+        return Beliefs.decode(JSON.parse(body.toString("utf8")));
+    }
+    catch (error) {
+        return Left(`not JSON: ${String(error)}`);
+    }
+}
+
+/** What asking siblings needs. */
+export interface SiblingsQuestion {
+    readonly isInformed: () => boolean;
+    /** Instances that may know, the nearest first. */
+    readonly sources: () => readonly BeliefSource[];
+    readonly take: (beliefs: Beliefs, source: BeliefSource) => void;
+    readonly log: EventLog;
+}
+
+/** Asks one sibling after the other until this instance knows enough to serve, from them or from the store. */
+export function startAskingSiblings({ isInformed, sources, take, log }: SiblingsQuestion): Teardown {
+    let asked = 0;
+    const turn = async (): Promise<void> => {
+        const known = sources();
+        const source = known[asked % Math.max(1, known.length)];
+        if (isInformed()) {
+            return;
+        }
+        if (source !== undefined) {
+            asked += 1;
+            const answer = await askBeliefs(source);
+            answer.ifLeft(detail => log.info("beliefs", { source: source.name, detail }, "a sibling cannot tell"));
+            if (!isInformed()) {
+                answer.ifRight(beliefs => take(beliefs, source));
+            }
+        }
+        timer = setTimeout(() => void turn(), askIntervalMillis);
+    };
+    let timer = setTimeout(() => void turn(), firstAskMillis);
+    return () => clearTimeout(timer);
+}
--- /dev/null
+++ b/packages/endivebridge-gateway/src/Beliefs.ts
@@ -0,0 +1,80 @@
+import type { BackendServer, TrafficConfiguration } from "@endivebridge/traffic";
+import { array, boolean, Codec, type GetType, number, string } from "purify-ts";
+
+const RouteCodec = Codec.interface({
+    name: string,
+    host: string,
+    pathPrefix: string,
+    isIdempotent: boolean,
+    timeoutMillis: number,
+    objectiveMillis: number,
+    priority: number,
+    targets: array(Codec.interface({ service: string, weight: number })),
+    maximumAttempts: number,
+    hasAffinity: boolean,
+    homeRegions: array(string)
+});
+
+const ServiceCodec = Codec.interface({
+    name: string,
+    healthPath: string,
+    maximumConnections: number,
+    coldStartMillis: number,
+    coldRequestsPerSecond: number
+});
+
+const ServerCodec = Codec.interface({
+    id: string,
+    service: string,
+    host: string,
+    port: number,
+    failureDomain: string,
+    region: string,
+    slots: number,
+    isLeaving: boolean,
+    coldRemainingMillis: number,
+    bornEpochMillis: number
+});
+
+/** What one instance tells another that has just started and cannot reach the platform's store. */
+export const Beliefs = Codec.interface({
+    version: number,
+    routes: array(RouteCodec),
+    services: array(ServiceCodec),
+    callerLimits: Codec.interface({
+        headerBytes: number,
+        bodyBytes: number,
+        headerTimeoutMillis: number,
+        idleTimeoutMillis: number
+    }),
+    servers: array(ServerCodec),
+    evacuatedDomains: array(string)
+});
+
+/** What one instance believes of configuration, backend servers and evacuations. */
+export type Beliefs = GetType<typeof Beliefs>;
+
+/** Puts what an instance believes into one value. */
+export function makeBeliefs(
+    { version, routes, services, callerLimits }: TrafficConfiguration,
+    servers: readonly BackendServer[],
+    evacuatedDomains: Iterable<string>
+): Beliefs {
+    return {
+        version,
+        routes: routes.map(route => ({
+            ...route,
+            targets: [...route.targets],
+            homeRegions: [...route.homeRegions]
+        })),
+        services: [...services.values()],
+        callerLimits,
+        servers: [...servers],
+        evacuatedDomains: [...evacuatedDomains]
+    };
+}
+
+/** The configuration among what another instance believes. */
+export function configurationOf({ version, routes, services, callerLimits }: Beliefs): TrafficConfiguration {
+    return { version, routes, services: new Map(services.map(service => [service.name, service])), callerLimits };
+}
--- /dev/null
+++ b/packages/endivebridge-gateway/src/BelievedState.ts
@@ -0,0 +1,140 @@
+import { monotonicMillis } from "@endivebridge/shared";
+import { type BackendServer, makeRouteTable, type ServerPool, type TrafficConfiguration } from "@endivebridge/traffic";
+import { type Beliefs, configurationOf, makeBeliefs } from "./Beliefs";
+import type { BeliefSource } from "./BeliefTransfer";
+import type { ConfigurationInForce } from "./CallerServer";
+import type { EventLog } from "./EventLog";
+
+/** What operators and backend servers said last, as far as this instance has heard. */
+export interface BelievedState {
+    /** Takes a configuration; older ones than that in force are ignored. */
+    readonly takeConfiguration: (configuration: TrafficConfiguration) => void;
+    readonly takeServer: (server: BackendServer) => void;
+    readonly dropServer: (id: string, reason: string) => void;
+    readonly setEvacuated: (failureDomain: string, isEvacuated: boolean) => void;
+    /** Takes what a sibling believes, where nothing is known yet. */
+    readonly takeBeliefs: (beliefs: Beliefs, source: BeliefSource) => void;
+
+    readonly inForce: () => ConfigurationInForce | undefined;
+    readonly serverIds: () => readonly string[];
+    readonly isEvacuated: (failureDomain: string) => boolean;
+    readonly evacuatedDomains: () => readonly string[];
+    /** Whether there is a configuration, and a backend server to send requests to. */
+    readonly isInformed: () => boolean;
+    /** What a sibling is told; undefined while this instance is not informed itself. */
+    readonly describe: () => Beliefs | undefined;
+}
+
+/** Who is told of changes. */
+export interface BelievedStateParts {
+    readonly pool: ServerPool;
+    readonly onConfiguration: (configuration: TrafficConfiguration) => void;
+    readonly onServer: (server: BackendServer) => void;
+    readonly onServerGone: (id: string) => void;
+    readonly log: EventLog;
+}
+
+/** Makes the state of an instance that has heard nothing yet. */
+export function makeBelievedState(parts: BelievedStateParts): BelievedState {
+    const { pool, log } = parts;
+    const evacuated = new Set<string>();
+    let inForce: ConfigurationInForce | undefined;
+
+    const takeConfiguration = (configuration: TrafficConfiguration) => {
+        const current = inForce?.configuration.version;
+        if (current !== undefined && current >= configuration.version) {
+            return;
+        }
+        inForce = {
+            configuration,
+            routes: makeRouteTable(configuration.routes),
+            takenMillis: monotonicMillis()
+        };
+        log.info("configuration", {
+            version: configuration.version,
+            previous: current,
+            routes: configuration.routes.length,
+            services: configuration.services.size
+        }, "configuration in force");
+        parts.onConfiguration(configuration);
+    };
+
+    const takeServer = (server: BackendServer) => {
+        const known = pool.get(server.id)?.server;
+        pool.upsert(server, monotonicMillis());
+        if (known === undefined || known.isLeaving !== server.isLeaving) {
+            log.info("server", { ...server }, server.isLeaving ? "server is leaving" : "server known");
+        }
+        parts.onServer(server);
+    };
+
+    /** Nothing reached these servers for a while, so that they are cold. */
+    const noteCold = (failureDomain: string) => {
+        const nowMillis = monotonicMillis();
+        for (const tracked of pool.all()) {
+            if (tracked.server.failureDomain === failureDomain) {
+                const service = inForce?.configuration.services.get(tracked.server.service);
+                const coldMillis = service?.coldStartMillis ?? 0;
+                tracked.coldUntilMillis = Math.max(tracked.coldUntilMillis, nowMillis + coldMillis);
+            }
+        }
+    };
+
+    const setEvacuated = (failureDomain: string, isEvacuated: boolean) => {
+        if (evacuated.has(failureDomain) === isEvacuated) {
+            return;
+        }
+        if (isEvacuated) {
+            evacuated.add(failureDomain);
+        }
+        else {
+            evacuated.delete(failureDomain);
+            noteCold(failureDomain);
+        }
+        log.info("evacuation", { failureDomain, isEvacuated }, "evacuation changed");
+    };
+
+    const isInformed = () => inForce !== undefined && pool.size() > 0;
+
+    return {
+        takeConfiguration,
+        takeServer,
+        dropServer: (id, reason) => {
+            if (pool.remove(id) !== undefined) {
+                log.info("server", { id, reason }, "server gone");
+                parts.onServerGone(id);
+            }
+        },
+        setEvacuated,
+        takeBeliefs: (beliefs, { name }) => {
+            log.info("beliefs", {
+                source: name,
+                version: beliefs.version,
+                servers: beliefs.servers.length,
+                evacuatedDomains: beliefs.evacuatedDomains
+            }, "started from what a sibling believes");
+            // Whoever has read a configuration has read of evacuations too, and later.
+            if (inForce === undefined) {
+                beliefs.evacuatedDomains.forEach(failureDomain => setEvacuated(failureDomain, true));
+            }
+            beliefs.servers.forEach(takeServer);
+            takeConfiguration(configurationOf(beliefs));
+        },
+        inForce: () => inForce,
+        serverIds: () => [...pool.all()].map(tracked => tracked.server.id),
+        isEvacuated: failureDomain => evacuated.has(failureDomain),
+        evacuatedDomains: () => [...evacuated],
+        isInformed,
+        describe: () => {
+            if (inForce === undefined || !isInformed()) {
+                return undefined;
+            }
+            const nowMillis = monotonicMillis();
+            const servers = [...pool.all()].map(({ server, coldUntilMillis }) => ({
+                ...server,
+                coldRemainingMillis: Math.max(0, coldUntilMillis - nowMillis)
+            }));
+            return makeBeliefs(inForce.configuration, servers, evacuated);
+        }
+    };
+}
--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -20,6 +20,8 @@
 export interface CallerServerParts {
     readonly dialect: Dialect;
     readonly configuration: () => ConfigurationInForce | undefined;
+    /** Resolves once an instance that has just started knows enough to serve; undefined where there is no such wait. */
+    readonly whenInformed: () => Promise<void> | undefined;
     readonly splitChoice: SplitChoice;
     readonly attempts: AttemptAges;
     readonly run: (routed: RoutedRequest) => RunningRequest;
@@ -194,6 +196,13 @@
         if (body === "gone") {
             return;
         }
+        const informed = parts.whenInformed();
+        if (informed !== undefined) {
+            await informed;
+            if (response.destroyed) {
+                return;
+            }
+        }
         const request = makeCallerRequest(parts.dialect, message, Buffer.isBuffer(body) ? body : Buffer.alloc(0));
         const routed = body === "too large"
             ? "bodyTooLarge"
--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -7,7 +7,6 @@
     makePlacement,
     makeRegionBalance,
     makeRetryBudget,
-    makeRouteTable,
     makeServerPool,
     makeSplitChoice,
     makeWaitingRoom,
@@ -17,10 +16,13 @@
     type TrafficConfiguration
 } from "@endivebridge/traffic";
 import { randomBytes } from "node:crypto";
-import { applyCallerLimits, type ConfigurationInForce, makeCallerServer } from "./CallerServer";
+import { type BeliefSource, serveBeliefs, startAskingSiblings } from "./BeliefTransfer";
+import { makeBelievedState } from "./BelievedState";
+import { applyCallerLimits, makeCallerServer } from "./CallerServer";
 import type { Dialect } from "./Dialect";
 import { type Directory, makeDirectory } from "./Directory";
 import type { EventLog } from "./EventLog";
+import { makeFirstBeliefs } from "./FirstBeliefs";
 import type { GatewayMetrics } from "./GatewayMetrics";
 import { memberLiveMillis, startPeerExchange } from "./PeerExchange";
 import { makeRegionBalancing } from "./RegionBalancing";
@@ -49,6 +51,7 @@
     readonly dropServer: (id: string, reason: string) => void;
     readonly serverIds: () => readonly string[];
     readonly setEvacuated: (failureDomain: string, isEvacuated: boolean) => void;
+    readonly evacuatedDomains: () => readonly string[];
     /** Notes that the platform's store was lost, or answers. */
     readonly setStoreLost: (isLost: boolean) => void;
     /** Notes the newest change that was taken from a table of the store; peers hear of it. */
@@ -107,16 +110,33 @@
         settings.shiftShareInTwoSeconds / 2 * shiftSafety,
         settings.shiftShareInTwoSeconds * exceptionSafety
     );
-    const evacuated = new Set<string>();
     const connections = new Map<string, ServerConnections>();
     const startedMillis = monotonicMillis();
-    let inForce: ConfigurationInForce | undefined;
     let stoppingSinceMillis: number | undefined;
     let hasStoreSinceMillis: number | undefined;
     const tableVersions: Record<string, number> = {};
     const newerTableListeners = new Set<(table: string) => void>();
 
-    const service = (name: string) => inForce?.configuration.services.get(name);
+    const beliefs = makeBelievedState({
+        pool,
+        onConfiguration: configuration => {
+            applyCallerLimits(server, configuration);
+            metrics.configurationVersion.set(configuration.version);
+            firstBeliefs.check();
+        },
+        onServer: backendServer => {
+            waitingRoom.serve(backendServer.service, monotonicMillis());
+            firstBeliefs.check();
+        },
+        onServerGone: id => {
+            // Requests in flight keep their connections; no new one is opened.
+            connections.delete(id);
+        },
+        log
+    });
+    const firstBeliefs = makeFirstBeliefs(beliefs.isInformed);
+
+    const service = (name: string) => beliefs.inForce()?.configuration.services.get(name);
 
     /**
      * Instances that share a cold server: those of its failure domain, else of its region. All that were ever known
@@ -139,7 +159,7 @@
         region: own.region,
         pool,
         service,
-        isEvacuated: failureDomain => evacuated.has(failureDomain),
+        isEvacuated: beliefs.isEvacuated,
         roundTripMillis: () => otherRegionRoundTripMillis,
         coldSharers,
         estimates,
@@ -173,11 +193,12 @@
         }, offerGatherMillis);
     };
 
-    const isReady = () => inForce !== undefined && pool.size() > 0 && stoppingSinceMillis === undefined;
+    const isReady = () => beliefs.isInformed() && stoppingSinceMillis === undefined;
 
     const { server, openRequests } = makeCallerServer({
         dialect,
-        configuration: () => inForce,
+        configuration: beliefs.inForce,
+        whenInformed: firstBeliefs.whenInformed,
         splitChoice,
         attempts: makeAttemptAges(),
         run: routed =>
@@ -213,7 +234,9 @@
         return counts;
     };
 
-    const serviceNames = (): readonly string[] => [...inForce?.configuration.services.keys() ?? []];
+    const serviceNames = (): readonly string[] => [
+        ...beliefs.inForce()?.configuration.services.keys() ?? []
+    ];
 
     const awayShares = (): Record<string, number> => {
         const entries = serviceNames().map(name =>
@@ -231,7 +254,7 @@
         serviceNames,
         usableServers: name =>
             pool.ofService(name).filter(tracked =>
-                !tracked.server.isLeaving && !evacuated.has(tracked.server.failureDomain)
+                !tracked.server.isLeaving && !beliefs.isEvacuated(tracked.server.failureDomain)
             ),
         members,
         balance
@@ -274,6 +297,21 @@
         log
     });
 
+    /** Siblings that were heard lately, those of the own failure domain and region first. */
+    const beliefSources = (): readonly BeliefSource[] => {
+        const distance = ({ failureDomain, region }: MemberRecord) =>
+            failureDomain === own.failureDomain ? 0 : region === own.region ? 1 : 2;
+        return [...members.ready(monotonicMillis())].sort((left, right) => distance(left) - distance(right));
+    };
+
+    const stopTelling = serveBeliefs(own.host, own.peerPort, beliefs.describe, log);
+    const stopAsking = startAskingSiblings({
+        isInformed: beliefs.isInformed,
+        sources: beliefSources,
+        take: beliefs.takeBeliefs,
+        log
+    });
+
     const waitingTimer = setInterval(() => waitingRoom.serveAll(monotonicMillis()), waitingTurnMillis);
     const omittedTimer = setInterval(() => {
         log.reportOmitted();
@@ -282,66 +320,17 @@
     }, omittedReportMillis);
 
     return {
-        takeConfiguration: configuration => {
-            const current = inForce?.configuration.version;
-            if (current !== undefined && current >= configuration.version) {
-                return;
-            }
-            inForce = {
-                configuration,
-                routes: makeRouteTable(configuration.routes),
-                takenMillis: monotonicMillis()
-            };
-            applyCallerLimits(server, configuration);
-            metrics.configurationVersion.set(configuration.version);
-            log.info("configuration", {
-                version: configuration.version,
-                previous: current,
-                routes: configuration.routes.length,
-                services: configuration.services.size
-            }, "configuration in force");
-        },
-        takeServer: backendServer => {
-            const known = pool.get(backendServer.id)?.server;
-            pool.upsert(backendServer, monotonicMillis());
-            if (known === undefined || known.isLeaving !== backendServer.isLeaving) {
-                log.info(
-                    "server",
-                    { ...backendServer },
-                    backendServer.isLeaving ? "server is leaving" : "server known"
-                );
-            }
-            waitingRoom.serve(backendServer.service, monotonicMillis());
-        },
-        dropServer: (id, reason) => {
-            if (pool.remove(id) !== undefined) {
-                // Requests in flight keep their connections; no new one is opened.
-                connections.delete(id);
-                log.info("server", { id, reason }, "server gone");
-            }
-        },
-        serverIds: () => [...pool.all()].map(tracked => tracked.server.id),
-        setEvacuated: (failureDomain, isEvacuated) => {
-            if (evacuated.has(failureDomain) === isEvacuated) {
-                return;
-            }
-            const nowMillis = monotonicMillis();
-            if (isEvacuated) {
-                evacuated.add(failureDomain);
-            }
-            else {
-                evacuated.delete(failureDomain);
-                for (const tracked of pool.all()) {
-                    if (tracked.server.failureDomain === failureDomain) {
-                        const coldMillis = service(tracked.server.service)?.coldStartMillis ?? 0;
-                        tracked.coldUntilMillis = Math.max(tracked.coldUntilMillis, nowMillis + coldMillis);
-                    }
-                }
-            }
-            log.info("evacuation", { failureDomain, isEvacuated }, "evacuation changed");
-        },
+        takeConfiguration: beliefs.takeConfiguration,
+        takeServer: beliefs.takeServer,
+        dropServer: beliefs.dropServer,
+        serverIds: beliefs.serverIds,
+        setEvacuated: beliefs.setEvacuated,
+        evacuatedDomains: beliefs.evacuatedDomains,
         setStoreLost: isLost => {
             hasStoreSinceMillis = isLost ? undefined : hasStoreSinceMillis ?? monotonicMillis();
+            if (isLost) {
+                firstBeliefs.giveUp();
+            }
         },
         noteTableVersion: (table, version) => {
             tableVersions[table] = Math.max(tableVersions[table] ?? 0, version);
@@ -371,6 +360,8 @@
                         clearInterval(balanceTimer);
                         clearInterval(omittedTimer);
                         log.info("stop", { openRequests: openRequests(), elapsedMillis }, "stopped");
+                        stopAsking();
+                        stopTelling();
                         peers.close();
                         resolve();
                     }
