Stragglers are sent once more to the server that is warm for them; cold servers leave keys where they are warm

Cause: three requests in a hundred run several times longer than the rest; in pipelined connections the answers behind them wait too. And a key whose first server was cold waited a quarter of its objective for the part of the rate that its instance may use there, before its second server would do. Change: an idempotent request with no answer after twice the expected time is sent once more to the same server, beside the first send, where a slot is free, nobody waits and both budgets allow (a twentieth of requests, the retry budget). A cold server that takes nothing now has no place in a key's order, so that the key stays where it is warm. The sends of a request are a module of their own.

--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -3,6 +3,7 @@
 import {
     type BackendServer,
     makeAttemptAges,
+    makeHedging,
     makeMembers,
     makePlacement,
     makeRegionBalance,
@@ -105,6 +106,7 @@
     const estimates = makeWorkEstimates();
     const waitingRoom = makeWaitingRoom();
     const retryBudget = makeRetryBudget(settings.retryBudget);
+    const hedging = makeHedging();
     const splitChoice = makeSplitChoice(Math.random);
     const balance = makeRegionBalance(
         settings.shiftShareInTwoSeconds / 2 * shiftSafety,
@@ -208,6 +210,7 @@
                 waitingRoom,
                 serveWaiting,
                 retryBudget,
+                hedging,
                 estimates,
                 poison,
                 members,
--- /dev/null
+++ b/packages/endivebridge-gateway/src/RequestSends.ts
@@ -0,0 +1,155 @@
+import { monotonicMillis } from "@endivebridge/shared";
+import type { Placed } from "@endivebridge/traffic";
+import { type Exchange, type ExchangeOutcome, startExchange } from "./Exchange";
+import { learnFromSend } from "./LearnFromSend";
+import { raceAttempts } from "./RaceAttempts";
+import type { RoutedRequest, RunRequestParts } from "./RunRequest";
+
+/** One send whose outcome is known. */
+export interface EndedAttempt {
+    readonly placed: Placed;
+    readonly outcome: ExchangeOutcome;
+    readonly sentMillis: number;
+    readonly tookMillis: number;
+}
+
+/** The sends of one request. */
+export interface RequestSends {
+    /**
+     * Sends the request to a server whose slot was taken for it. A straggler of an idempotent route is sent once more;
+     * the first good outcome counts.
+     */
+    readonly send: (placed: Placed) => Promise<EndedAttempt>;
+    /** Cancels what is under way. */
+    readonly cancel: () => void;
+    readonly count: () => number;
+    /** Whether a send that is under way may have reached its server. */
+    readonly mayHaveRun: () => boolean;
+    readonly logAgain: (kind: "resend" | "hedge", placed: Placed, detail: string, tookMillis: number) => void;
+}
+
+/** What the sends of one request share. */
+export interface RequestSendsOptions {
+    readonly keyHash: number | undefined;
+    readonly deadlineMillis: number;
+    /** Takes in the servers that were sent the request. */
+    readonly triedServers: Set<string>;
+}
+
+/** A connection that is not there by then is given up; servers accept within milliseconds. */
+const connectTimeoutMillis = 400;
+/** Beyond the length of the way to another region. */
+const remoteConnectTimeoutMillis = 700;
+
+const againMessages = {
+    resend: "sending the request once more",
+    hedge: "sending the request once more beside the first"
+};
+
+/** Makes the sends of one request; none is under way yet. */
+export function makeRequestSends(
+    parts: RunRequestParts,
+    { request, route, service }: RoutedRequest,
+    { keyHash, deadlineMillis, triedServers }: RequestSendsOptions
+): RequestSends {
+    /** Sends whose outcome is not known yet; two where a straggler is hedged. */
+    const exchanges = new Set<Exchange>();
+    let count = 0;
+    let isCancelled = false;
+
+    const cancelRunning = () => exchanges.forEach(exchange => exchange.cancel());
+    const instances = () => parts.members.known().length + 1;
+
+    const logAgain: RequestSends["logAgain"] = (kind, placed, detail, tookMillis) => {
+        const nowMillis = monotonicMillis();
+        parts.log.info(kind, {
+            requestId: request.id,
+            route: route.name,
+            server: placed.tracked.server.id,
+            detail,
+            tookMillis: Math.round(tookMillis),
+            sends: count,
+            budgetLeft: parts.retryBudget.left(service.name, instances(), nowMillis),
+            leftMillis: Math.round(deadlineMillis - nowMillis)
+        }, againMessages[kind]);
+    };
+
+    /** Sends the request once and takes in what that showed of the server. */
+    const sendOnce = async (placed: Placed): Promise<EndedAttempt> => {
+        const { server } = placed.tracked;
+        const sentMillis = monotonicMillis();
+        const leftMillis = Math.max(1, Math.floor(deadlineMillis - sentMillis));
+        triedServers.add(server.id);
+        count += 1;
+        const exchange = startExchange(parts.dialect, {
+            host: server.host,
+            port: server.port,
+            connections: parts.connectionsOf(placed),
+            method: request.method,
+            path: request.target,
+            headers: {
+                ...request.headers,
+                ...request.body.length > 0 ? { "content-length": String(request.body.length) } : {},
+                [parts.dialect.deadlineHeader]: String(leftMillis),
+                [parts.dialect.targetServerHeader]: server.id
+            },
+            body: request.body,
+            requestId: request.id,
+            connectTimeoutMillis: placed.isRemote ? remoteConnectTimeoutMillis : connectTimeoutMillis
+        });
+        exchanges.add(exchange);
+        const outcome = await exchange.outcome;
+        exchanges.delete(exchange);
+        const tookMillis = monotonicMillis() - sentMillis;
+        placed.tracked.ownInFlight -= 1;
+        const isWarmable = keyHash !== undefined;
+        learnFromSend(parts, { route, service, placed, outcome, tookMillis, isWarmable });
+        parts.metrics.attempts.inc({ service: service.name, outcome: outcome.kind });
+        parts.serveWaiting(service.name);
+        return { placed, outcome, sentMillis, tookMillis };
+    };
+
+    /**
+     * Sends once more to the same server, which is warm for the request's key, where it has a free slot that nobody
+     * waits for.
+     */
+    const hedge = (placed: Placed): Promise<EndedAttempt> | undefined => {
+        const nowMillis = monotonicMillis();
+        if (
+            isCancelled || parts.waitingRoom.waiting(service.name) > 0
+            || !parts.placement.canRepeat(placed, nowMillis)
+            || parts.retryBudget.left(service.name, instances(), nowMillis) < 1
+            || !parts.hedging.trySpend(service.name, nowMillis)
+        ) {
+            return undefined;
+        }
+        parts.retryBudget.trySpend(service.name, instances(), nowMillis);
+        logAgain("hedge", placed, "no answer yet", parts.hedging.delayMillis(placed.expectedMillis));
+        placed.tracked.ownInFlight += 1;
+        return sendOnce(placed);
+    };
+
+    return {
+        send: async placed => {
+            const first = sendOnce(placed);
+            if (!route.isIdempotent) {
+                return first;
+            }
+            const ended = await raceAttempts({
+                first,
+                delayMillis: parts.hedging.delayMillis(placed.expectedMillis),
+                startSecond: () => hedge(placed),
+                isGood: ({ outcome }) => outcome.kind === "answered" && outcome.answer.status < 500
+            });
+            cancelRunning();
+            return ended;
+        },
+        cancel: () => {
+            isCancelled = true;
+            cancelRunning();
+        },
+        count: () => count,
+        mayHaveRun: () => [...exchanges].some(exchange => exchange.mayHaveRun()),
+        logAgain
+    };
+}
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -1,6 +1,7 @@
 import type { PoisonList } from "@endivebridge/core";
 import { monotonicMillis } from "@endivebridge/shared";
 import {
+    type Hedging,
     type Members,
     type Placed,
     type Placement,
@@ -15,10 +16,10 @@
 import { affinityHash, type CallerRequest, requestFingerprint } from "./CallerRequest";
 import type { Dialect } from "./Dialect";
 import type { EventLog } from "./EventLog";
-import { type Exchange, type ExchangeOutcome, isRefused, type ServerAnswer, startExchange } from "./Exchange";
+import { type ExchangeOutcome, isRefused, type ServerAnswer } from "./Exchange";
 import type { FinalAnswerKind } from "./FinalAnswers";
 import type { GatewayMetrics } from "./GatewayMetrics";
-import { learnFromSend } from "./LearnFromSend";
+import { makeRequestSends } from "./RequestSends";
 import type { ServerConnections } from "./ServerConnections";
 
 /** A request with the route and service that the configuration gave it. */
@@ -64,6 +65,7 @@
     /** Offers a slot that became free to those who wait. */
     readonly serveWaiting: (service: string) => void;
     readonly retryBudget: RetryBudget;
+    readonly hedging: Hedging;
     readonly estimates: WorkEstimates;
     readonly poison: PoisonList;
     readonly members: Members;
@@ -72,10 +74,6 @@
     readonly metrics: GatewayMetrics;
 }
 
-/** A connection that is not there by then is given up; servers accept within milliseconds. */
-const connectTimeoutMillis = 400;
-/** Beyond the length of the way to another region. */
-const remoteConnectTimeoutMillis = 700;
 /** A crash within this time of the send is blamed on the request; later the server was at work on others too. */
 const crashBlameMillis = 400;
 /** A server that crashes this soon after a send crashed as it began to run the request. */
@@ -107,12 +105,11 @@
     const triedServers = new Set<string>();
     let isOver = false;
     let mayHaveRun = false;
-    let sends = 0;
     /** Sends that may have reached a server; connections that failed are not among them. */
     let arrivals = 0;
     let stopWaiting: (() => void) | undefined;
-    let exchange: Exchange | undefined;
     let settle: (result: RequestResult) => void = () => undefined;
+    const sends = makeRequestSends(parts, routed, { keyHash, deadlineMillis, triedServers });
     const result = new Promise<RequestResult>(resolve => settle = resolve);
 
     const end = (ended: RequestResult) => {
@@ -120,14 +117,14 @@
             isOver = true;
             clearTimeout(deadlineTimer);
             stopWaiting?.();
-            exchange?.cancel();
+            sends.cancel();
             settle(ended);
         }
     };
     const endWith = (answer: FinalAnswerKind, retryAfterMillis?: number) =>
         end({ kind: "own", answer, retryAfterMillis });
     const deadlineTimer = setTimeout(
-        () => endWith(mayHaveRun || exchange?.mayHaveRun() === true ? "timedOut" : "timedOutBeforeRun"),
+        () => endWith(mayHaveRun || sends.mayHaveRun() ? "timedOut" : "timedOutBeforeRun"),
         Math.max(0, deadlineMillis - monotonicMillis())
     );
 
@@ -176,41 +173,6 @@
             parts.waitingRoom.enter(waiter, monotonicMillis());
         });
 
-    const send = async (placed: Placed): Promise<ExchangeOutcome> => {
-        const { server } = placed.tracked;
-        const leftMillis = Math.max(1, Math.floor(deadlineMillis - monotonicMillis()));
-        triedServers.add(server.id);
-        sends += 1;
-        exchange = startExchange(parts.dialect, {
-            host: server.host,
-            port: server.port,
-            connections: parts.connectionsOf(placed),
-            method: request.method,
-            path: request.target,
-            headers: {
-                ...request.headers,
-                ...request.body.length > 0 ? { "content-length": String(request.body.length) } : {},
-                [parts.dialect.deadlineHeader]: String(leftMillis),
-                [parts.dialect.targetServerHeader]: server.id
-            },
-            body: request.body,
-            requestId: request.id,
-            connectTimeoutMillis: placed.isRemote ? remoteConnectTimeoutMillis : connectTimeoutMillis
-        });
-        const outcome = await exchange.outcome;
-        exchange = undefined;
-        return outcome;
-    };
-
-    /** Takes in what a send showed of its server. */
-    const learn = (placed: Placed, outcome: ExchangeOutcome, tookMillis: number) => {
-        placed.tracked.ownInFlight -= 1;
-        const isWarmable = keyHash !== undefined;
-        learnFromSend(parts, { route, service, placed, outcome, tookMillis, isWarmable });
-        parts.metrics.attempts.inc({ service: service.name, outcome: outcome.kind });
-        parts.serveWaiting(service.name);
-    };
-
     const noteCrash = async (placed: Placed, outcome: ExchangeOutcome, tookMillis: number): Promise<void> => {
         if (outcome.kind === "answered" && !parts.poison.isEmpty()) {
             parts.poison.clear(requestFingerprint(request));
@@ -239,7 +201,7 @@
 
     /** Whether the request may go to one more server; spends the budget where it may. */
     const maySendAgain = (arrivedAtServer: boolean): boolean => {
-        const isUsedUp = arrivals >= route.maximumAttempts || sends >= mostSends;
+        const isUsedUp = arrivals >= route.maximumAttempts || sends.count() >= mostSends;
         if (isUsedUp || (mayHaveRun && !route.isIdempotent)) {
             return false;
         }
@@ -257,6 +219,7 @@
             return;
         }
         parts.retryBudget.countRequest(service.name, monotonicMillis());
+        parts.hedging.countRequest(service.name, monotonicMillis());
         for (let isNew = true; !isOver; isNew = false) {
             const found = await place(isNew);
             if (found.kind === "ended") {
@@ -272,11 +235,8 @@
                 placed.tracked.ownInFlight -= 1;
                 return;
             }
-            const sentMillis = monotonicMillis();
-            parts.metrics.queueWait.observe({ service: service.name }, (sentMillis - arrivedMillis) / 1_000);
-            const outcome = await send(placed);
-            const tookMillis = monotonicMillis() - sentMillis;
-            learn(placed, outcome, tookMillis);
+            parts.metrics.queueWait.observe({ service: service.name }, (monotonicMillis() - arrivedMillis) / 1_000);
+            const { outcome, sentMillis, tookMillis } = await sends.send(placed);
             await noteCrash(placed, outcome, tookMillis);
             if (outcome.kind === "cancelled") {
                 return;
@@ -288,7 +248,7 @@
             if (outcome.kind === "answered" && !outcome.answer.isNotExecuted && outcome.answer.isSigned) {
                 const isServerError = outcome.answer.status >= 500;
                 if (isServerError && outcome.answer.rest === undefined && route.isIdempotent && maySendAgain(true)) {
-                    logResend(placed, `status ${outcome.answer.status}`, tookMillis);
+                    sends.logAgain("resend", placed, `status ${outcome.answer.status}`, tookMillis);
                     continue;
                 }
                 const { rank, isRemote, expectedMillis } = placed;
@@ -302,7 +262,7 @@
                         expectedMillis: Math.round(expectedMillis),
                         waitedMillis: Math.round(sentMillis - arrivedMillis),
                         tookMillis: Math.round(tookMillis),
-                        sends
+                        sends: sends.count()
                     }
                 });
                 return;
@@ -313,7 +273,7 @@
                 return;
             }
             if (maySendAgain(outcome.kind !== "unreachable")) {
-                logResend(placed, detail, tookMillis);
+                sends.logAgain("resend", placed, detail, tookMillis);
                 continue;
             }
             if (mayHaveRun) {
@@ -329,21 +289,6 @@
         }
     };
 
-    const logResend = (placed: Placed, detail: string, tookMillis: number) => {
-        const nowMillis = monotonicMillis();
-        const instances = parts.members.known().length + 1;
-        parts.log.info("resend", {
-            requestId: request.id,
-            route: route.name,
-            server: placed.tracked.server.id,
-            detail,
-            tookMillis: Math.round(tookMillis),
-            sends,
-            budgetLeft: parts.retryBudget.left(service.name, instances, nowMillis),
-            leftMillis: Math.round(deadlineMillis - nowMillis)
-        }, "sending the request to another backend server");
-    };
-
     serve().catch((error: unknown) => {
         parts.log.error("fault", { requestId: request.id, error: String(error) }, "serving a request went wrong");
         endWith("internal");
--- a/packages/endivebridge-traffic/src/Placement.ts
+++ b/packages/endivebridge-traffic/src/Placement.ts
@@ -50,6 +50,8 @@
 /** Chooses backend servers. */
 export interface Placement {
     readonly choose: (request: PlacementRequest, nowMillis: number) => Placed | Unplaced;
+    /** Whether a server that was chosen before could be sent the same request beside the first send. */
+    readonly canRepeat: (placed: Placed, nowMillis: number) => boolean;
 }
 
 /** How much a round trip to the region's other failure domains counts, beyond its length, since its bytes are scarce. */
@@ -87,17 +89,14 @@
  * each failure domain would take several times as long to become warm, and small ones could not hold all keys.
  */
 export function makePlacement(view: PlacementView): Placement {
-    /** Whether a cold server is left to others: to the instances of its failure domain. */
-    const isOthersToWarmUp = ({ server, coldUntilMillis }: TrackedServer, nowMillis: number): boolean =>
-        coldUntilMillis > nowMillis
-        && (server.region !== view.region || view.coldSharers(server.failureDomain) === 0);
-
-    const isUsable = (tracked: TrackedServer, request: PlacementRequest, nowMillis: number): boolean =>
+    const takesRequests = (tracked: TrackedServer, nowMillis: number): boolean =>
         !tracked.server.isLeaving
         && !view.isEvacuated(tracked.server.failureDomain)
-        && !request.triedServers.has(tracked.server.id)
         && tracked.avoidUntilMillis <= nowMillis;
 
+    const isUsable = (tracked: TrackedServer, request: PlacementRequest, nowMillis: number): boolean =>
+        takesRequests(tracked, nowMillis) && !request.triedServers.has(tracked.server.id);
+
     const hasRoom = (tracked: TrackedServer, isRemote: boolean): boolean => {
         const slots = Math.max(1, tracked.server.slots - (isRemote ? remoteReservedSlots : 0));
         // After failed connections one request at a time finds out whether the server is back.
@@ -105,10 +104,17 @@
         return tracked.ownInFlight + tracked.peersInFlight < limit;
     };
 
-    const canWarmUp = (tracked: TrackedServer, nowMillis: number): boolean => {
-        const sharers = view.coldSharers(tracked.server.failureDomain);
-        const rate = view.service(tracked.server.service)?.coldRequestsPerSecond ?? 0;
-        return tracked.coldLimit.canTake(rate / sharers, nowMillis);
+    /**
+     * Whether a cold server takes no request of this instance now: only instances of its failure domain warm it up, each
+     * at its part of the rate that it bears. Until then keys stay where they are warm.
+     */
+    const isTooCold = ({ server, coldLimit, coldUntilMillis }: TrackedServer, nowMillis: number): boolean => {
+        if (coldUntilMillis <= nowMillis) {
+            return false;
+        }
+        const sharers = server.region === view.region ? view.coldSharers(server.failureDomain) : 0;
+        const rate = view.service(server.service)?.coldRequestsPerSecond ?? 0;
+        return sharers === 0 || !coldLimit.canTake(rate / sharers, nowMillis);
     };
 
     const costMillis = (request: PlacementRequest, tracked: TrackedServer, rank: number, nowMillis: number): number => {
@@ -134,16 +140,12 @@
         nowMillis: number
     ): Placed | undefined => {
         const isRemote = tracked.server.region !== view.region;
-        const isCold = tracked.coldUntilMillis > nowMillis;
-        return hasRoom(tracked, isRemote && isException) && !(isCold && !canWarmUp(tracked, nowMillis))
+        return hasRoom(tracked, isRemote && isException)
             ? { tracked, rank, isRemote, expectedMillis: costMillis(request, tracked, rank, nowMillis) }
             : undefined;
     };
 
-    /**
-     * The cheapest of the two servers that come first for a key; busy ones keep their place. A server that others warm
-     * up has none yet.
-     */
+    /** The cheapest of the two servers that come first for a key; busy ones keep their place, cold ones have none yet. */
     const cheapestForKey = (
         request: PlacementRequest,
         keyHash: number,
@@ -160,7 +162,7 @@
             if (
                 weight <= secondWeight
                 || !isUsable(tracked, request, nowMillis)
-                || isOthersToWarmUp(tracked, nowMillis)
+                || isTooCold(tracked, nowMillis)
             ) {
                 continue;
             }
@@ -190,7 +192,7 @@
     ): Placed | undefined => {
         let best: Placed | undefined;
         for (const tracked of servers) {
-            if (isUsable(tracked, request, nowMillis) && !isOthersToWarmUp(tracked, nowMillis)) {
+            if (isUsable(tracked, request, nowMillis) && !isTooCold(tracked, nowMillis)) {
                 best = cheaper(best, place(request, tracked, 0, isException, nowMillis));
             }
         }
@@ -271,7 +273,9 @@
                 }
             }
             return elsewhere !== undefined && view.balance.tryExcept() ? elsewhere : "all busy";
-        }
+        },
+        canRepeat: ({ tracked, isRemote }, nowMillis) =>
+            takesRequests(tracked, nowMillis) && tracked.coldUntilMillis <= nowMillis && hasRoom(tracked, isRemote)
     };
 }
 
--- /dev/null
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Hedging.test.ts
@@ -0,0 +1,58 @@
+import { range } from "@endivebridge/shared";
+import test from "ava";
+import fc from "fast-check";
+import { makeHedging, type Placed } from "../../index";
+import { makePlacementSample, route } from "./Samples";
+
+test("second sends stay a small share of the requests, whatever comes when", t => {
+    t.notThrows(() =>
+        fc.assert(fc.property(
+            fc.array(fc.tuple(fc.boolean(), fc.nat({ max: 500 })), { maxLength: 400 }),
+            events => {
+                const hedging = makeHedging();
+                let nowMillis = 0;
+                let requests = 0;
+                let hedges = 0;
+                for (const [isRequest, stepMillis] of events) {
+                    nowMillis += stepMillis;
+                    if (isRequest) {
+                        hedging.countRequest("desk", nowMillis);
+                        requests += 1;
+                    }
+                    else if (hedging.trySpend("desk", nowMillis)) {
+                        hedges += 1;
+                    }
+                }
+                return hedges <= requests * 0.05;
+            }
+        ))
+    );
+});
+
+test("ordinary work is not sent twice, and stragglers are while most of their time is left", t => {
+    const hedging = makeHedging();
+    t.true(hedging.delayMillis(200) >= 300);
+    t.true(hedging.delayMillis(200) <= 600);
+});
+
+test("a server that is full, leaving or cold is not sent the same request again", t => {
+    const { pool, placement } = makePlacementSample([{ id: "s1" }]);
+    const chosen = placement.choose({
+        route: route({}),
+        service: "desk",
+        keyHash: 7,
+        triedServers: new Set(),
+        waitedShare: 0,
+        isNew: true
+    }, 0) as Placed;
+    const tracked = pool.get("s1")!;
+    t.true(placement.canRepeat(chosen, 0));
+    range(4).forEach(() => tracked.ownInFlight += 1);
+    t.false(placement.canRepeat(chosen, 0));
+    tracked.ownInFlight = 1;
+    tracked.coldUntilMillis = 100;
+    t.false(placement.canRepeat(chosen, 0));
+    t.true(placement.canRepeat(chosen, 200));
+    tracked.server = { ...tracked.server, isLeaving: true };
+    t.false(placement.canRepeat(chosen, 200));
+});
--- a/packages/endivebridge-traffic/src/__tests__/unit/Placement.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Placement.test.ts
@@ -61,6 +61,25 @@
     }
 });
 
+test("a cold server warms up on what it bears; other requests for its keys go where they are warm at once", t => {
+    const coldOne = { id: "new", coldRemainingMillis: 3_000 };
+    const { pool, placement } = makePlacementSample([...sixServers, coldOne]);
+    const before = makePlacementSample(sixServers);
+    let toNew = 0;
+    for (let nowMillis = 500; nowMillis < 1_500; nowMillis += 5) {
+        const keyHash = hashText(`key-${nowMillis % 40}`);
+        const chosen = placement.choose(request({ keyHash }), nowMillis) as Placed;
+        if (idOf(chosen) === "new") {
+            pool.get("new")!.coldLimit.take();
+            toNew += 1;
+        }
+        else {
+            t.is(idOf(chosen), idOf(before.placement.choose(request({ keyHash }), nowMillis)));
+        }
+    }
+    t.true(toNew >= 3 && toNew <= 11, `${toNew} in a second at ten a second`);
+});
+
 test("a busy first server is waited for before the key warms up a second one", t => {
     const { pool, placement } = makePlacementSample(sixServers);
     const first = idOf(placement.choose(request(), 0));
--- a/packages/endivebridge-traffic/src/index.ts
+++ b/packages/endivebridge-traffic/src/index.ts
@@ -2,6 +2,7 @@
 export { type ColdLimit, makeColdLimit } from "./ColdLimit";
 export type { CallerLimits, Route, RouteTarget, Service, TrafficConfiguration } from "./Configuration";
 export { hashText, mixHashes } from "./Hash";
+export { type Hedging, makeHedging } from "./Hedging";
 export { makeMembers, type MemberRecord, type MemberReport, type Members } from "./Members";
 export {
     currentSlowness,
