--- /dev/null
+++ b/packages/endivebridge-gateway/src/__tests__/unit/BeliefTransfer.test.ts
@@ -0,0 +1,96 @@
+import test from "ava";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { type Beliefs, configurationOf, makeBeliefs } from "../../Beliefs";
+import { askBeliefs, startAskingSiblings } from "../../BeliefTransfer";
+import { makeEventLog } from "../../EventLog";
+
+const beliefs: Beliefs = {
+    version: 12,
+    routes: [{
+        name: "search",
+        host: "desk.example",
+        pathPrefix: "/search/",
+        isIdempotent: true,
+        timeoutMillis: 2_000,
+        objectiveMillis: 400,
+        priority: 1,
+        targets: [{ service: "desk", weight: 1 }],
+        maximumAttempts: 2,
+        hasAffinity: true,
+        homeRegions: ["fraser"]
+    }],
+    services: [{
+        name: "desk",
+        healthPath: "/health",
+        maximumConnections: 390,
+        coldStartMillis: 3_000,
+        coldRequestsPerSecond: 11
+    }],
+    callerLimits: { headerBytes: 1, bodyBytes: 2, headerTimeoutMillis: 3, idleTimeoutMillis: 4 },
+    servers: [{
+        id: "i-1",
+        service: "desk",
+        host: "10.0.0.1",
+        port: 80,
+        failureDomain: "fraser-a",
+        region: "fraser",
+        slots: 4,
+        isLeaving: true,
+        coldRemainingMillis: 5,
+        bornEpochMillis: 6
+    }],
+    evacuatedDomains: ["fraser-b"]
+};
+
+/** A sibling that answers with the given bytes. */
+async function startSibling(status: number, body: string) {
+    const server = createServer((_, response) => response.writeHead(status).end(body));
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port: peerPort } = server.address() as AddressInfo;
+    return { source: { name: "sibling", host: "127.0.0.1", peerPort }, close: () => server.close() };
+}
+
+test("what a sibling believes arrives whole", async t => {
+    const sibling = await startSibling(200, JSON.stringify(beliefs));
+    t.teardown(sibling.close);
+    t.deepEqual((await askBeliefs(sibling.source)).unsafeCoerce(), beliefs);
+    t.deepEqual(makeBeliefs(configurationOf(beliefs), beliefs.servers, beliefs.evacuatedDomains), beliefs);
+});
+
+test("an answer that is cut, of another form or a refusal is a reason, never a belief", async t => {
+    const text = JSON.stringify(beliefs);
+    const answers = [
+        [200, text.slice(0, -9)],
+        [200, JSON.stringify({ ...beliefs, servers: [{ id: "i-1" }] })],
+        [200, JSON.stringify({ ...beliefs, version: "12" })],
+        [503, text]
+    ] as const;
+    for (const [status, body] of answers) {
+        const sibling = await startSibling(status, body);
+        t.true((await askBeliefs(sibling.source)).isLeft());
+        sibling.close();
+    }
+});
+
+test("siblings are asked in turn until one can tell", async t => {
+    const knowsNothing = await startSibling(503, "");
+    const knows = await startSibling(200, JSON.stringify(beliefs));
+    t.teardown(knowsNothing.close);
+    t.teardown(knows.close);
+    const taken = await new Promise<string>(resolve => {
+        let isInformed = false;
+        startAskingSiblings({
+            isInformed: () => isInformed,
+            sources: () => [knowsNothing.source, { ...knows.source, name: "second" }],
+            take: (_, source) => {
+                isInformed = true;
+                resolve(source.name);
+            },
+            log: makeEventLog("test", "own", { write: () => undefined, takeDropped: () => 0 })
+        });
+    });
+    t.is(taken, "second");
+});
