Intervals between messages are bounded, and a member outlives two lost ones at any number of members

Cause: intervals grew with the number of members without bound, the time that a member counts as live only to twice its shortest. At 75 instances those of other regions were told each 4.6 s and taken to be gone after 5 s, so that one lost datagram was enough; at 300 the same held inside a region (3.7 s against 2.4 s), and the directory would have named next to nobody. Change: both follow from one interval: at most 2.2 s, live for three of them, so that one that ended is still noticed within the seven seconds that the directory has. Test: for up to 700 members (failed first: from 21 members on). All instances still tell all others; docs/CAPACITY.md says where that ends.

--- a/packages/endivebridge-gateway/src/PeerExchange.ts
+++ b/packages/endivebridge-gateway/src/PeerExchange.ts
@@ -61,6 +61,8 @@
 const farIntervalMillis = 500;
 /** Members beyond which intervals grow, so that messages a second do not grow with the square of the members. */
 const membersAtFullRate = 8;
+/** Intervals grow no further: an instance that ended must be noticed within seconds, however many there are. */
+const mostIntervalMillis = 2_200;
 /** Instances that were never heard are tried at this interval. */
 const unheardIntervalMillis = 1_000;
 /** Keeps a message within one datagram. */
@@ -72,11 +74,19 @@
 /** Several messages may be lost before an instance of the own region, or of another one, is taken to be gone. */
 const nearLiveMillis = 1_200;
 const farLiveMillis = 2_500;
+/** Messages that may be missed where intervals are long. */
+const intervalsLive = 3;
+
+/** Time between two messages to a live member, of the own region or of another one. */
+export function messageIntervalMillis(isNear: boolean, members: number): number {
+    const factor = Math.max(1, members / membersAtFullRate);
+    return Math.min(mostIntervalMillis, (isNear ? nearIntervalMillis : farIntervalMillis) * factor);
+}
 
 /** How long a member counts as live after it was last heard; longer where there are many and messages are rarer. */
 export function memberLiveMillis(ownRegion: string, member: MemberRecord, members: number): number {
-    const factor = Math.max(1, Math.min(2, members / membersAtFullRate));
-    return (member.region === ownRegion ? nearLiveMillis : farLiveMillis) * factor;
+    const isNear = member.region === ownRegion;
+    return Math.max(isNear ? nearLiveMillis : farLiveMillis, messageIntervalMillis(isNear, members) * intervalsLive);
 }
 
 /** Starts the exchange on the own peer address. */
@@ -138,14 +148,11 @@
     const turn = (sendToAll: boolean) => {
         const nowMillis = monotonicMillis();
         const live = new Set(parts.members.live(nowMillis).map(member => member.name));
-        const factor = Math.max(1, live.size / membersAtFullRate);
         let bytes: Buffer | undefined;
         for (const member of parts.members.known()) {
             const intervalMillis = !live.has(member.name)
                 ? unheardIntervalMillis
-                : member.region === parts.own.region
-                ? nearIntervalMillis * factor
-                : farIntervalMillis * factor;
+                : messageIntervalMillis(member.region === parts.own.region, live.size);
             const dueMillis = (lastSentMillis.get(member.name) ?? -Infinity) + intervalMillis - turnMillis / 2;
             if (sendToAll || nowMillis >= dueMillis) {
                 lastSentMillis.set(member.name, nowMillis);
--- a/packages/endivebridge-gateway/src/__tests__/unit/BeliefTransfer.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/BeliefTransfer.test.ts
@@ -46,7 +46,7 @@
 
 /** A sibling that answers with the given bytes. */
 async function startSibling(status: number, body: string) {
-    const server = createServer((_, response) => response.writeHead(status).end(body));
+    const server = createServer(({}, response) => response.writeHead(status).end(body));
     server.listen(0, "127.0.0.1");
     await once(server, "listening");
     const { port: peerPort } = server.address() as AddressInfo;
@@ -85,7 +85,7 @@
         startAskingSiblings({
             isInformed: () => isInformed,
             sources: () => [knowsNothing.source, { ...knows.source, name: "second" }],
-            take: (_, source) => {
+            take: ({}, source) => {
                 isInformed = true;
                 resolve(source.name);
             },
--- a/packages/endivebridge-gateway/src/__tests__/unit/PeerExchange.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/PeerExchange.test.ts
@@ -4,7 +4,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import { once } from "node:events";
 import { makeEventLog } from "../../EventLog";
-import { type PeerMessage, startPeerExchange } from "../../PeerExchange";
+import { memberLiveMillis, messageIntervalMillis, type PeerMessage, startPeerExchange } from "../../PeerExchange";
 
 const host = "127.0.0.1";
 
@@ -90,3 +90,15 @@
     const messages = await talkToInstance(6, 15);
     t.is(messages.filter(message => message.members !== undefined).length, 0);
 });
+
+test("however many members there are, one outlives two lost messages, and one that ended is noticed within seven seconds", t => {
+    const mostMillis = 7_000;
+    for (const members of range(700)) {
+        for (const isNear of [true, false]) {
+            const record = { ...memberRecord("other", 9), region: isNear ? "fraser" : "kootenay" };
+            const liveMillis = memberLiveMillis("fraser", record, members);
+            t.true(liveMillis >= 3 * messageIntervalMillis(isNear, members), `${members} members`);
+            t.true(liveMillis <= mostMillis, `${members} members`);
+        }
+    }
+});
