Keys leave a region earlier, and more of them at the start where the way is short beside the objective

A key keeps to one server of four or five slots, so that requests wait for it long before all are busy; and at the start every server is cold and every slot counts. Change: the mark is 0.5; the first share is what evens out the slots, less the more of the objective the way takes. Tests: at 0.6 of use keys leave (failed first), at 0.3 they come back; the first share falls with the way's part.

--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -259,6 +259,15 @@
             pool.ofService(name).filter(tracked =>
                 !tracked.server.isLeaving && !beliefs.isEvacuated(tracked.server.failureDomain)
             ),
+        roundTripMillis: otherRegionRoundTripMillis,
+        objectiveMillis: name => {
+            const routes = (beliefs.inForce()?.configuration.routes ?? [])
+                .filter(({ targets }) => targets.some(target => target.service === name));
+            // A service that no route goes to has nothing to move.
+            return routes.length === 0
+                ? Infinity
+                : routes.reduce((sum, route) => sum + route.objectiveMillis, 0) / routes.length;
+        },
         members,
         balance
     });
--- a/packages/endivebridge-gateway/src/RegionBalancing.ts
+++ b/packages/endivebridge-gateway/src/RegionBalancing.ts
@@ -1,5 +1,11 @@
 import { monotonicMillis } from "@endivebridge/shared";
-import type { MemberRecord, Members, RegionBalance, TrackedServer } from "@endivebridge/traffic";
+import {
+    firstShareFactor,
+    type MemberRecord,
+    type Members,
+    type RegionBalance,
+    type TrackedServer
+} from "@endivebridge/traffic";
 
 /** What the comparison of regions needs. */
 export interface RegionBalancingParts {
@@ -8,14 +14,15 @@
     readonly serviceNames: () => readonly string[];
     /** Servers of a service that take new requests. */
     readonly usableServers: (service: string) => readonly TrackedServer[];
+    readonly roundTripMillis: number;
+    /** Mean objective of the routes that go to a service. */
+    readonly objectiveMillis: (service: string) => number;
     readonly members: Members;
     readonly balance: RegionBalance;
 }
 
 /** Weight of the newest look at how busy servers are: about a second of memory. */
 const newestUseWeight = 0.25;
-/** Part of the share that callers and servers of a region suggest before anything is measured. */
-const firstShareFactor = 0.8;
 
 /** Makes the turn that compares how busy regions are and moves the shares of services between them. */
 export function makeRegionBalancing(parts: RegionBalancingParts): () => void {
@@ -46,8 +53,9 @@
             }
             const peersShare = parts.members.meanAwayShare(parts.own.region, name, nowMillis);
             if (loads.size > 0) {
-                const first = firstAwayShare(parts.regionOfDomain, parts.own.region, loads);
-                parts.balance.begin(name, peersShare ?? first);
+                const even = evenAwayShare(parts.regionOfDomain, parts.own.region, loads);
+                const factor = firstShareFactor(parts.roundTripMillis, parts.objectiveMillis(name));
+                parts.balance.begin(name, peersShare ?? even * factor);
             }
             parts.balance.adjust(name, { own: ownUse, others }, peersShare, nowMillis);
         }
@@ -74,7 +82,7 @@
  * Share that would even out the regions if all failure domains had as many callers. It is corrected as soon as load is
  * measured.
  */
-function firstAwayShare(
+function evenAwayShare(
     regionOfDomain: ReadonlyMap<string, string>,
     ownRegion: string,
     loads: ReadonlyMap<string, RegionLoad>
@@ -83,5 +91,5 @@
     const callerShare = regions.filter(region => region === ownRegion).length / Math.max(1, regions.length);
     const allSlots = [...loads.values()].reduce((sum, load) => sum + load.slots, 0);
     const slotShare = (loads.get(ownRegion)?.slots ?? 0) / Math.max(1, allSlots);
-    return callerShare > 0 ? Math.max(0, 1 - slotShare / callerShare) * firstShareFactor : 0;
+    return callerShare > 0 ? Math.max(0, 1 - slotShare / callerShare) : 0;
 }
--- a/packages/endivebridge-traffic/src/RegionBalance.ts
+++ b/packages/endivebridge-traffic/src/RegionBalance.ts
@@ -18,8 +18,11 @@
     readonly countRequest: () => void;
 }
 
-/** Use of the own servers up to which nothing has to be carried away: requests hardly wait for each other. */
-const comfortableUse = 0.7;
+/**
+ * Use of the own servers up to which nothing has to be carried away. Keys keep to one server each, so that with few slots
+ * a server requests wait for each other well before all are busy; a round trip to another region costs less than that.
+ */
+const comfortableUse = 0.5;
 /** The other region must be less busy by this much, so that two regions do not exchange their work. */
 const leastDifference = 0.15;
 /** Distance from the wanted use at which a share moves as fast as it may. */
@@ -29,6 +32,14 @@
 /** Requests that may leave their place beyond the planned share, at once. */
 const mostExceptions = 2;
 
+/**
+ * Part of the share that would even out the regions with which a service starts, while all servers are cold and each
+ * slot counts: nearly all of it where the way to another region is a small part of the objective, none where it takes all.
+ */
+export function firstShareFactor(roundTripMillis: number, objectiveMillis: number): number {
+    return Math.max(0, 1 - (roundTripMillis / objectiveMillis) ** 2);
+}
+
 function bounded(value: number, most: number): number {
     return Math.max(-most, Math.min(most, value));
 }
--- a/packages/endivebridge-traffic/src/__tests__/unit/WaitingRoom.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/WaitingRoom.test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { makeAttemptAges, makeRegionBalance, makeWaitingRoom, type Waiter } from "../../index";
+import { firstShareFactor, makeAttemptAges, makeRegionBalance, makeWaitingRoom, type Waiter } from "../../index";
 
 interface Outcome {
     placedAtMillis?: number;
@@ -172,3 +172,28 @@
     t.true(Math.max(...steps) <= stepPerSecond * 2 + 1e-9, `${Math.max(...steps)} in two seconds`);
     t.true(Math.max(...shares) > 0.5 && Math.min(...shares) < 0.3);
 });
+
+test("keys leave a region before the first servers of keys are often full, and come back once there is room", t => {
+    const balance = makeRegionBalance(0.04, 0.04);
+    balance.begin("desk", 0);
+    const settle = (ownUse: number) => {
+        const from = balance.awayShare("desk");
+        for (let step = 0; step < 20; step += 1) {
+            nowMillis += 200;
+            balance.adjust("desk", { own: ownUse, others: 0.2 }, undefined, nowMillis);
+        }
+        return balance.awayShare("desk") - from;
+    };
+    let nowMillis = 0;
+    // With four slots a server, at 0.6 of use every fourth request finds its key's server full.
+    t.true(settle(0.6) > 0.02);
+    t.true(settle(0.3) < -0.02);
+});
+
+test("a region starts with less of its work elsewhere the more of the objective the way takes", t => {
+    t.true(firstShareFactor(110, 1_000) > 0.95);
+    t.true(firstShareFactor(110, 300) < firstShareFactor(110, 400));
+    t.true(firstShareFactor(110, 200) < 0.75);
+    t.is(firstShareFactor(110, 110), 0);
+    t.is(firstShareFactor(110, 60), 0);
+});
--- a/packages/endivebridge-traffic/src/index.ts
+++ b/packages/endivebridge-traffic/src/index.ts
@@ -13,7 +13,7 @@
     type PlacementView,
     type Unplaced
 } from "./Placement";
-export { makeRegionBalance, type RegionBalance, type ServiceUse } from "./RegionBalance";
+export { firstShareFactor, makeRegionBalance, type RegionBalance, type ServiceUse } from "./RegionBalance";
 export { makeRetryBudget, type RetryBudget, type RetryBudgetLimits } from "./RetryBudget";
 export { makeRouteTable, type RouteTable } from "./RouteTable";
 export { type BackendServer, makeServerPool, type ServerPool, type TrackedServer } from "./ServerPool";
