endivetrace request: a request's way over the logs of all instances, causes first

Cause: from a failed request's id to its cause an engineer had to search the logs of every instance by hand, first for the id, then for the server's and the store's lines around it.

--- a/packages/endivebridge-trace/src/main.ts
+++ b/packages/endivebridge-trace/src/main.ts
@@ -4,10 +4,12 @@
 import sade from "sade";
 import packageFile from "../package.json";
 import { readSteps, replay } from "./Replay";
+import { readLog, renderTrace, traceRequest } from "./RequestTrace";
 import { orderEvents, renderHtml, renderText, type TracedEvent } from "./TimeLine";
 
 const exitUnreachable = 1;
 const exitDiffers = 2;
+const exitNotFound = 3;
 
 interface EventsAnswer {
     readonly events: readonly TracedEvent[];
@@ -74,4 +76,17 @@
         process.exit(outcome.differences.length === 0 ? 0 : exitDiffers);
     });
 
+program
+    .command("request <id> <file>", "Print a request's way over the instances whose log files are named, causes first")
+    .example("request 9c41d07be2a35f68 entry-0.log entry-1.log")
+    .action((id: string, file: string, flags: { readonly _: readonly string[]; }) => {
+        const events = [file, ...flags._].flatMap(each => readLog(readFileSync(each, "utf8")));
+        const lines = traceRequest(events, id);
+        if (lines.length === 0) {
+            console.error(`no line of the ${events.length} that were read names request ${id}`);
+            process.exit(exitNotFound);
+        }
+        console.log(renderTrace(lines));
+    });
+
 program.parse(process.argv);
