A test process that does not end by itself says what keeps it

Change: after the last test the process has ten seconds to end by itself; then it prints its open resources and ends. Conclusion: the leak is open; the next one will name itself.

--- a/packages/endivebridge-bench/src/__tests__/integration/SmallWorld.ts
+++ b/packages/endivebridge-bench/src/__tests__/integration/SmallWorld.ts
@@ -1,3 +1,4 @@
+import { registerCompletionHandler } from "ava";
 import type { Deployment } from "../../Deployment";
 import { labelNamed, type LabelResult, type LoadResult } from "../../LoadPlan";
 import { countSafety, type SafetyCounts } from "../../Safety";
@@ -21,6 +22,16 @@
 
 const serviceMillis = 60;
 
+/** A process that has not ended by itself so long after its last test says what keeps it, and ends. */
+const endMillis = 10_000;
+
+registerCompletionHandler(() => {
+    setTimeout(() => {
+        console.error(`still open after the last test: ${process.getActiveResourcesInfo().join(", ")}`);
+        process.exit();
+    }, endMillis).unref();
+});
+
 /** Starts a small world for one test. */
 export function startSmall(options: Partial<WorldOptions> = {}): Promise<World> {
     return startWorld({ deployment: small, seed: 7, serviceMillis, ...options });
