Retry budget and hedging share one way of counting by service

Cause: hedging had brought a second copy of the retry budget's map of sliding counts. Change: makeServiceCounts stands beside the count itself and serves both. Behaviour is unchanged; unit and property tests of both pass.

--- a/packages/endivebridge-traffic/src/Hedging.ts
+++ b/packages/endivebridge-traffic/src/Hedging.ts
@@ -1,4 +1,4 @@
-import { makeSlidingCount, type SlidingCount } from "./SlidingCount";
+import { makeServiceCounts } from "./SlidingCount";
 
 /** Decides when an idempotent request is sent once more because its answer takes too long. */
 export interface Hedging {
@@ -20,24 +20,15 @@
  * servers with room to spare. Under overload the servers' slots are taken, and nothing is sent twice.
  */
 export function makeHedging(): Hedging {
-    const requests = new Map<string, SlidingCount>();
-    const spent = new Map<string, SlidingCount>();
-
-    const countOf = (counts: Map<string, SlidingCount>, service: string): SlidingCount => {
-        let count = counts.get(service);
-        if (count === undefined) {
-            count = makeSlidingCount(windowMillis);
-            counts.set(service, count);
-        }
-        return count;
-    };
+    const requests = makeServiceCounts(windowMillis);
+    const spent = makeServiceCounts(windowMillis);
 
     return {
-        countRequest: (service, nowMillis) => countOf(requests, service).add(nowMillis),
+        countRequest: (service, nowMillis) => requests(service).add(nowMillis),
         delayMillis: expectedMillis => expectedMillis * lateFactor,
         trySpend: (service, nowMillis) => {
-            const allowed = countOf(requests, service).total(nowMillis) * mostShare;
-            const used = countOf(spent, service);
+            const allowed = requests(service).total(nowMillis) * mostShare;
+            const used = spent(service);
             if (used.total(nowMillis) + 1 > allowed) {
                 return false;
             }
--- a/packages/endivebridge-traffic/src/RetryBudget.ts
+++ b/packages/endivebridge-traffic/src/RetryBudget.ts
@@ -1,4 +1,4 @@
-import { makeSlidingCount, type SlidingCount } from "./SlidingCount";
+import { makeServiceCounts } from "./SlidingCount";
 
 /** What all instances together may spend on sending requests again. */
 export interface RetryBudgetLimits {
@@ -25,32 +25,23 @@
  * hear of each other.
  */
 export function makeRetryBudget(limits: RetryBudgetLimits): RetryBudget {
-    const requests = new Map<string, SlidingCount>();
-    const spent = new Map<string, SlidingCount>();
-
-    const countOf = (counts: Map<string, SlidingCount>, service: string): SlidingCount => {
-        let count = counts.get(service);
-        if (count === undefined) {
-            count = makeSlidingCount(limits.windowMillis);
-            counts.set(service, count);
-        }
-        return count;
-    };
+    const requests = makeServiceCounts(limits.windowMillis);
+    const spent = makeServiceCounts(limits.windowMillis);
 
     const left = (service: string, instances: number, nowMillis: number): number => {
-        const allowed = limits.ratio * countOf(requests, service).total(nowMillis)
+        const allowed = limits.ratio * requests(service).total(nowMillis)
             + limits.slack / Math.max(1, instances);
-        return Math.floor(allowed * safetyShare) - countOf(spent, service).total(nowMillis);
+        return Math.floor(allowed * safetyShare) - spent(service).total(nowMillis);
     };
 
     return {
-        countRequest: (service, nowMillis) => countOf(requests, service).add(nowMillis),
+        countRequest: (service, nowMillis) => requests(service).add(nowMillis),
         left,
         trySpend: (service, instances, nowMillis) => {
             if (left(service, instances, nowMillis) < 1) {
                 return false;
             }
-            countOf(spent, service).add(nowMillis);
+            spent(service).add(nowMillis);
             return true;
         }
     };
--- a/packages/endivebridge-traffic/src/SlidingCount.ts
+++ b/packages/endivebridge-traffic/src/SlidingCount.ts
@@ -40,3 +40,19 @@
         }
     };
 }
+
+/** Sliding counts by service; a service that was not counted yet has none. */
+export type ServiceCounts = (service: string) => SlidingCount;
+
+/** Makes counts of one window each, as services are asked for. */
+export function makeServiceCounts(windowMillis: number): ServiceCounts {
+    const counts = new Map<string, SlidingCount>();
+    return service => {
+        let count = counts.get(service);
+        if (count === undefined) {
+            count = makeSlidingCount(windowMillis);
+            counts.set(service, count);
+        }
+        return count;
+    };
+}
