What a look at a cold server and a turn of the region balance ask for is kept, not worked out anew

Change: the members' list is the same until a member comes or its record changes; the count of sharers, now a module of its own, is kept with it; the first share is worked out once. Behaviour is unchanged. Tests: sharers by domain and region, a member that comes back elsewhere, right after the start.

--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -20,6 +20,7 @@
 import { type BeliefSource, serveBeliefs, startAskingSiblings } from "./BeliefTransfer";
 import { makeBelievedState } from "./BelievedState";
 import { applyCallerLimits, makeCallerServer } from "./CallerServer";
+import { makeColdSharers } from "./ColdSharers";
 import type { Dialect } from "./Dialect";
 import { type Directory, makeDirectory } from "./Directory";
 import type { EventLog } from "./EventLog";
@@ -89,8 +90,6 @@
 /** The process ends this long before the end by force. */
 const endMarginMillis = 800;
 const omittedReportMillis = 5_000;
-/** Without news of any other instance for so long after the start, this one takes it that there is none. */
-const aloneAfterMillis = 5_000;
 
 /** Puts the parts of a gateway together and starts it. */
 export function startGateway(
@@ -140,21 +139,7 @@
 
     const service = (name: string) => beliefs.inForce()?.configuration.services.get(name);
 
-    /**
-     * Instances that share a cold server: those of its failure domain, else of its region. All that were ever known
-     * count: one that is cut off cannot tell whether the others still run.
-     */
-    const coldSharers = (failureDomain: string): number => {
-        const known = members.known();
-        if (known.length === 0 && monotonicMillis() - startedMillis < aloneAfterMillis) {
-            return 0;
-        }
-        const sharers = known.filter(member => member.failureDomain === failureDomain);
-        if (failureDomain === own.failureDomain) {
-            return sharers.length + 1;
-        }
-        return sharers.length > 0 ? 0 : known.filter(member => member.region === own.region).length + 1;
-    };
+    const coldSharers = makeColdSharers(own, members, startedMillis);
 
     const placement = makePlacement({
         failureDomain: own.failureDomain,
--- a/packages/endivebridge-gateway/src/RegionBalancing.ts
+++ b/packages/endivebridge-gateway/src/RegionBalancing.ts
@@ -52,7 +52,7 @@
                 }
             }
             const peersShare = parts.members.meanAwayShare(parts.own.region, name, nowMillis);
-            if (loads.size > 0) {
+            if (loads.size > 0 && !parts.balance.hasBegun(name)) {
                 const even = evenAwayShare(parts.regionOfDomain, parts.own.region, loads);
                 const factor = firstShareFactor(parts.roundTripMillis, parts.objectiveMillis(name));
                 parts.balance.begin(name, peersShare ?? even * factor);
--- /dev/null
+++ b/packages/endivebridge-gateway/src/__tests__/unit/ColdSharers.test.ts
@@ -0,0 +1,49 @@
+import { makeMembers, type MemberRecord } from "@endivebridge/traffic";
+import test from "ava";
+import { makeColdSharers } from "../../ColdSharers";
+
+const member = (name: string, failureDomain: string, region = "fraser"): MemberRecord => ({
+    name,
+    host: "10.0.0.1",
+    peerPort: 1,
+    callerAddress: name,
+    failureDomain,
+    region
+});
+const own = member("own", "fraser-a");
+const longAgo = -60_000;
+
+test("a cold server is shared by its failure domain's instances, else by its region's", t => {
+    const members = makeMembers("own", () => 1_000);
+    const sharers = makeColdSharers(own, members, longAgo);
+    t.is(sharers("fraser-a"), 1);
+    members.introduce(member("near", "fraser-a"));
+    t.is(sharers("fraser-a"), 2);
+    t.is(sharers("fraser-b"), 2, "nobody is known there: the region shares it");
+    members.introduce(member("beside", "fraser-b"));
+    t.is(sharers("fraser-b"), 0, "left to the instance there");
+    t.is(sharers("fraser-a"), 2);
+});
+
+test("a member that comes back elsewhere is counted there", t => {
+    const members = makeMembers("own", () => 1_000);
+    const sharers = makeColdSharers(own, members, longAgo);
+    members.introduce(member("near", "fraser-a"));
+    t.is(sharers("fraser-a"), 2);
+    members.hear({
+        record: member("near", "fraser-b"),
+        incarnation: "second",
+        sequence: 1,
+        isReady: true,
+        inFlight: {},
+        awayShares: {},
+        hasStoreMillis: undefined,
+        tableVersions: {}
+    }, 0);
+    t.is(sharers("fraser-a"), 1);
+    t.is(sharers("fraser-b"), 0);
+});
+
+test("right after the start, with nobody heard yet, no cold server is used", t => {
+    t.is(makeColdSharers(own, makeMembers("own", () => 1_000), performance.now())("fraser-a"), 0);
+});
--- a/packages/endivebridge-traffic/src/Members.ts
+++ b/packages/endivebridge-traffic/src/Members.ts
@@ -45,6 +45,7 @@
     readonly introduce: (record: MemberRecord) => void;
     /** Takes in a report; false where a newer one of the same life came before. */
     readonly hear: (report: MemberReport, nowMillis: number) => boolean;
+    /** The same list until a member comes or its record changes. */
     readonly known: () => readonly MemberRecord[];
     /** Members that were heard lately and take requests. */
     readonly ready: (nowMillis: number) => readonly MemberRecord[];
@@ -61,9 +62,15 @@
 /** How long a member counts as live after it was last heard, among so many known ones. */
 export type LiveMillis = (record: MemberRecord, known: number) => number;
 
+function isSameRecord(left: MemberRecord, right: MemberRecord): boolean {
+    return left.host === right.host && left.peerPort === right.peerPort && left.callerAddress === right.callerAddress
+        && left.failureDomain === right.failureDomain && left.region === right.region;
+}
+
 /** Makes an empty list. */
 export function makeMembers(ownName: string, liveMillis: LiveMillis): Members {
     const members = new Map<string, Member>();
+    let known: readonly MemberRecord[] | undefined;
 
     const isLive = (member: Member, nowMillis: number): boolean =>
         member.heardAtMillis !== undefined
@@ -79,6 +86,7 @@
             }
             const member = members.get(record.name);
             if (member === undefined) {
+                known = undefined;
                 members.set(record.name, {
                     record,
                     incarnation: "",
@@ -92,6 +100,7 @@
                 });
             }
             else if (member.heardAtMillis === undefined) {
+                known = undefined;
                 member.record = record;
             }
         },
@@ -104,10 +113,13 @@
             if (member !== undefined && member.incarnation === incarnation && member.sequence >= sequence) {
                 return false;
             }
+            if (member === undefined || !isSameRecord(member.record, record)) {
+                known = undefined;
+            }
             members.set(record.name, { ...report, heardAtMillis: nowMillis });
             return true;
         },
-        known: () => records(() => true),
+        known: () => known ??= records(() => true),
         ready: nowMillis => records(member => member.isReady && isLive(member, nowMillis)),
         live: nowMillis => records(member => isLive(member, nowMillis)),
         inFlight: nowMillis => {
--- a/packages/endivebridge-traffic/src/RegionBalance.ts
+++ b/packages/endivebridge-traffic/src/RegionBalance.ts
@@ -9,6 +9,7 @@
 export interface RegionBalance {
     /** Share of the service's keys, and of its requests without a key, that belong to other regions. */
     readonly awayShare: (service: string) => number;
+    readonly hasBegun: (service: string) => boolean;
     /** Sets where a share starts; later calls for the same service do nothing. */
     readonly begin: (service: string, share: number) => void;
     /** Moves a share by a bounded step, after what is known of the load. */
@@ -55,6 +56,7 @@
 
     return {
         awayShare: service => shares.get(service)?.share ?? 0,
+        hasBegun: service => shares.has(service),
         begin: (service, share) => {
             if (!shares.has(service)) {
                 shares.set(service, { share: Math.max(0, Math.min(1, share)), atMillis: undefined });
