Members: update the sums of requests in flight with each report instead of recounting them

Change: a report replaces what its member contributes; members that are no longer live are taken out at the next look. A property test compares the sums with a recount.

--- a/packages/endivebridge-traffic/src/Members.ts
+++ b/packages/endivebridge-traffic/src/Members.ts
@@ -51,7 +51,7 @@
     readonly ready: (nowMillis: number) => readonly MemberRecord[];
     /** Members with a report within the liveness timeout, ready or not. */
     readonly live: (nowMillis: number) => readonly MemberRecord[];
-    /** Sum of requests in flight by backend server, over live members. */
+    /** Sum of requests in flight by backend server, over live members; the same map, updated by later reports. */
     readonly inFlight: (nowMillis: number) => ReadonlyMap<string, number>;
     /** Whether a live member has reached the platform's store for at least this long. */
     readonly hasMemberWithStoreFor: (millis: number, nowMillis: number) => boolean;
@@ -71,6 +71,33 @@
 export function makeMembers(ownName: string, livenessTimeoutMillis: LivenessTimeoutMillis): Members {
     const members = new Map<string, Member>();
     let cachedRecords: readonly MemberRecord[] | undefined;
+    /** Sums over the members in `countedInFlight`, updated with each report. */
+    const inFlightSums = new Map<string, number>();
+    const countedInFlight = new Map<string, Readonly<Record<string, number>>>();
+
+    const addToSums = (inFlight: Readonly<Record<string, number>>, sign: 1 | -1) => {
+        for (const server in inFlight) {
+            const sum = (inFlightSums.get(server) ?? 0) + sign * inFlight[server]!;
+            if (sum === 0) {
+                inFlightSums.delete(server);
+            }
+            else {
+                inFlightSums.set(server, sum);
+            }
+        }
+    };
+    /** Replaces what a member contributes to the sums. */
+    const countInFlight = (name: string, inFlight: Readonly<Record<string, number>> | undefined) => {
+        const counted = countedInFlight.get(name);
+        if (counted !== undefined) {
+            addToSums(counted, -1);
+            countedInFlight.delete(name);
+        }
+        if (inFlight !== undefined) {
+            addToSums(inFlight, 1);
+            countedInFlight.set(name, inFlight);
+        }
+    };
 
     const isLive = (member: Member, nowMillis: number): boolean =>
         member.lastReportAtMillis !== undefined
@@ -117,21 +144,19 @@
                 cachedRecords = undefined;
             }
             members.set(record.name, { ...report, lastReportAtMillis: nowMillis });
+            countInFlight(record.name, report.inFlight);
             return true;
         },
         allRecords: () => cachedRecords ??= recordsWhere(() => true),
         ready: nowMillis => recordsWhere(member => member.isReady && isLive(member, nowMillis)),
         live: nowMillis => recordsWhere(member => isLive(member, nowMillis)),
         inFlight: nowMillis => {
-            const sums = new Map<string, number>();
-            for (const member of members.values()) {
-                if (isLive(member, nowMillis)) {
-                    for (const [server, count] of Object.entries(member.inFlight)) {
-                        sums.set(server, (sums.get(server) ?? 0) + count);
-                    }
+            for (const name of countedInFlight.keys()) {
+                if (!isLive(members.get(name)!, nowMillis)) {
+                    countInFlight(name, undefined);
                 }
             }
-            return sums;
+            return inFlightSums;
         },
         hasMemberWithStoreFor: (millis, nowMillis) =>
             [...members.values()].some(member => isLive(member, nowMillis) && (member.hasStoreMillis ?? -1) >= millis),
--- a/packages/endivebridge-traffic/src/__tests__/unit/Traffic.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Traffic.test.ts
@@ -143,6 +143,46 @@
     t.false(members.recordReport(report("self", {}), 0), "an instance is not a member of its own list");
 });
 
+test("the sums of requests in flight cover the last report of each live member, whatever order reports arrive in", t => {
+    const arbitraryReport = fc.record({
+        member: fc.nat({ max: 3 }),
+        afterMillis: fc.nat({ max: 700 }),
+        incarnation: fc.constantFrom("first", "second"),
+        sequence: fc.nat({ max: 5 }),
+        inFlight: fc.dictionary(fc.constantFrom("s1", "s2", "s3"), fc.integer({ min: 1, max: 5 }))
+    });
+    t.notThrows(() =>
+        fc.assert(
+            fc.property(fc.array(arbitraryReport, { maxLength: 30 }), reports => {
+                const livenessMillis = 1_000;
+                const members = makeMembers("self", () => livenessMillis);
+                const lastReports = new Map<string, { atMillis: number; inFlight: Record<string, number>; }>();
+                let nowMillis = 0;
+                for (const { member, afterMillis, incarnation, sequence, inFlight } of reports) {
+                    nowMillis += afterMillis;
+                    if (members.recordReport(report(`m${member}`, { incarnation, sequence, inFlight }), nowMillis)) {
+                        lastReports.set(`m${member}`, { atMillis: nowMillis, inFlight });
+                    }
+                    const expected: Record<string, number> = {};
+                    for (const last of lastReports.values()) {
+                        const isLive = nowMillis - last.atMillis <= livenessMillis;
+                        for (const [server, count] of Object.entries(isLive ? last.inFlight : {})) {
+                            expected[server] = (expected[server] ?? 0) + count;
+                        }
+                    }
+                    const sums = Object.fromEntries(members.inFlight(nowMillis));
+                    if (
+                        JSON.stringify(Object.entries(sums).sort()) !== JSON.stringify(Object.entries(expected).sort())
+                    ) {
+                        return false;
+                    }
+                }
+                return true;
+            })
+        )
+    );
+});
+
 test("recognizes a store outage as local if a live member has reached the store for long enough", t => {
     const members = makeMembers("self", () => 1_000);
     members.recordReport(report("a", { hasStoreMillis: 20_000 }), 0);
