Placement: compute the rendezvous order of a key once, not on each attempt

Cause: each attempt to place a queued request hashed its key with every server of the service, and every pass of the queue makes up to 64 attempts. Change: the order of a region's servers is kept for each key while the region's server list is the same; the choice is unchanged. At most 1,000 keys a region are kept.

--- a/packages/endivebridge-traffic/src/Placement.ts
+++ b/packages/endivebridge-traffic/src/Placement.ts
@@ -69,6 +69,8 @@
  * load, spreading keys would make all caches cold, which alone would sustain the overload.
  */
 const secondServerWaitShare = 0.25;
+/** Limit on the keys per region whose order of servers is cached. */
+const maxCachedKeys = 1_000;
 /** Salt that makes the keys sent to other regions independent of the choice of server. */
 const remoteRegionSalt = hashText("away");
 
@@ -153,39 +155,30 @@
     const cheapestForKey = (
         request: PlacementRequest,
         keyHash: number,
-        servers: readonly TrackedServer[],
+        region: RegionServers,
         isOverflow: boolean,
         nowMillis: number
     ): Placed | undefined => {
+        const canUseSecond = request.waitedShare >= secondServerWaitShare;
         let first: TrackedServer | undefined;
         let second: TrackedServer | undefined;
-        let firstWeight = -1;
-        let secondWeight = -1;
-        for (const tracked of servers) {
-            const weight = mixHashes(tracked.hash, keyHash);
-            if (
-                weight <= secondWeight
-                || !isUsable(tracked, request, nowMillis)
-                || isRefusedByColdLimit(tracked, nowMillis)
-            ) {
+        for (const tracked of region.serversOfKey(keyHash)) {
+            if (!isUsable(tracked, request, nowMillis) || isRefusedByColdLimit(tracked, nowMillis)) {
                 continue;
             }
-            if (weight > firstWeight) {
-                second = first;
-                secondWeight = firstWeight;
-                first = tracked;
-                firstWeight = weight;
-            }
-            else {
+            if (first !== undefined) {
                 second = tracked;
-                secondWeight = weight;
+                break;
+            }
+            first = tracked;
+            if (!canUseSecond) {
+                break;
             }
         }
         const firstPlaced = first === undefined ? undefined : tryPlaceOn(request, first, 0, isOverflow, nowMillis);
-        if (second === undefined || request.waitedShare < secondServerWaitShare) {
-            return firstPlaced;
-        }
-        return cheaperOf(firstPlaced, tryPlaceOn(request, second, 1, isOverflow, nowMillis));
+        return second === undefined
+            ? firstPlaced
+            : cheaperOf(firstPlaced, tryPlaceOn(request, second, 1, isOverflow, nowMillis));
     };
 
     const cheapestOfAll = (
@@ -205,13 +198,13 @@
 
     const cheapestIn = (
         request: PlacementRequest,
-        servers: readonly TrackedServer[],
+        region: RegionServers,
         isOverflow: boolean,
         nowMillis: number
     ): Placed | undefined =>
         request.keyHash === undefined
-            ? cheapestOfAll(request, servers, isOverflow, nowMillis)
-            : cheapestForKey(request, request.keyHash, servers, isOverflow, nowMillis);
+            ? cheapestOfAll(request, region.servers, isOverflow, nowMillis)
+            : cheapestForKey(request, request.keyHash, region, isOverflow, nowMillis);
 
     const layoutCache = new Map<string, { readonly servers: readonly TrackedServer[]; readonly layout: Layout; }>();
 
@@ -263,17 +256,17 @@
             }
             const targetRegion = chooseTargetRegion(request, regions);
             let overflow: Placed | undefined;
-            for (const { region, servers } of regions) {
-                if (region === targetRegion) {
-                    const placed = cheapestIn(request, servers, false, nowMillis);
+            for (const region of regions) {
+                if (region.region === targetRegion) {
+                    const placed = cheapestIn(request, region, false, nowMillis);
                     if (placed !== undefined) {
                         return placed;
                     }
                 }
             }
-            for (const { region, servers } of regions) {
-                if (region !== targetRegion) {
-                    overflow = cheaperOf(overflow, cheapestIn(request, servers, true, nowMillis));
+            for (const region of regions) {
+                if (region.region !== targetRegion) {
+                    overflow = cheaperOf(overflow, cheapestIn(request, region, true, nowMillis));
                 }
             }
             return overflow !== undefined && view.balance.tryOverflow() ? overflow : "all busy";
@@ -295,6 +288,8 @@
     readonly region: string;
     readonly regionHash: number;
     readonly servers: readonly TrackedServer[];
+    /** The servers in the key's rendezvous order, first the one with the highest weight. */
+    readonly serversOfKey: (keyHash: number) => readonly TrackedServer[];
 }
 
 type Layout = readonly RegionServers[];
@@ -317,6 +312,26 @@
     return [...groupBy(servers, tracked => tracked.server.region)].map(([region, inRegion]) => ({
         region,
         regionHash: hashText(region),
-        servers: inRegion
+        servers: inRegion,
+        serversOfKey: makeRendezvousOrders(inRegion)
     }));
 }
+
+/** Rendezvous orders of a fixed list of servers, each computed once while its key is in use. */
+function makeRendezvousOrders(servers: readonly TrackedServer[]): RegionServers["serversOfKey"] {
+    const orders = new Map<number, readonly TrackedServer[]>();
+    return keyHash => {
+        let order = orders.get(keyHash);
+        if (order === undefined) {
+            order = servers
+                .map(tracked => ({ tracked, weight: mixHashes(tracked.hash, keyHash) }))
+                .sort((left, right) => right.weight - left.weight)
+                .map(({ tracked }) => tracked);
+            if (orders.size >= maxCachedKeys) {
+                orders.clear();
+            }
+            orders.set(keyHash, order);
+        }
+        return order;
+    };
+}
