--- a/packages/endivebridge-gateway/src/GatewayMetrics.ts
+++ b/packages/endivebridge-gateway/src/GatewayMetrics.ts
@@ -44,6 +44,12 @@
             labelNames: ["call", "outcome"],
             registers
         }),
+        storePollsAborted: new Counter({
+            name: "endivebridge_store_polls_aborted_total",
+            help: "Long polls aborted by this instance, by whether their response had started to arrive",
+            labelNames: ["response"],
+            registers
+        }),
         configurationVersion: new Gauge({
             name: "endivebridge_configuration_version",
             help: "Version of the configuration in force",
