Fail calls to the store on silence, not on their total duration

Callers were served by an old configuration: with 1,200 routes and a change every 0.3 s, instances on a link of 7 to 10 Mbit/s were seven versions behind 4.5 s after the acknowledgement (bound 4 s).

Cause: a peer's report of newer rows aborted the pending long poll 400 ms later even while its response arrived. The next poll began the transfer anew on a new connection and met the next report, so that an instance whose transfer takes longer than 400 ms never finished one. A table read failed after one second in total, with the same effect.

The first byte is now due within the response timeout, each further chunk within the same time of the one before, and the whole transfer within 15 s.

--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -5,3 +5,4 @@
 export { monotonicMillis } from "./MonotonicMillis";
 export { range } from "./Range";
 export { makeState, type State } from "./State";
+export { startTransferTimer, type TransferTimeouts, type TransferTimer } from "./TransferTimer";
