--- a/packages/endivebridge-gateway/src/SnapshotTransfer.ts
+++ b/packages/endivebridge-gateway/src/SnapshotTransfer.ts
@@ -1,4 +1,4 @@
-import type { Teardown } from "@endivebridge/shared";
+import { startTransferTimer, type Teardown } from "@endivebridge/shared";
 import { createServer, get } from "node:http";
 import { type Either, Left } from "purify-ts";
 import type { EventLog } from "./EventLog";
@@ -15,8 +15,9 @@
 /** Delay before the first request to a sibling; the store is read first and answers within this time if available. */
 const firstRequestDelayMillis = 400;
 const requestIntervalMillis = 300;
-/** Timeout of one request; a snapshot of a few hundred kilobytes takes this long on the slowest link. */
-const requestTimeoutMillis = 1_500;
+/** A sibling that is silent for this long is given up; a slow link alone is no reason to ask the next one. */
+const silenceTimeoutMillis = 1_500;
+const maxTransferMillis = 6_000;
 /** Limit on the size of a snapshot; a configuration of thousands of routes is below a megabyte. */
 const maxSnapshotBytes = 16_777_216;
 
@@ -49,7 +50,7 @@
 export function fetchSnapshot({ host, peerPort }: SnapshotSource): Promise<Either<string, StateSnapshot>> {
     return new Promise(resolve => {
         const finish = (result: Either<string, StateSnapshot>) => {
-            clearTimeout(timer);
+            timer.stop();
             resolve(result);
             request.destroy();
         };
@@ -57,6 +58,7 @@
             const chunks: Buffer[] = [];
             let length = 0;
             response.on("data", (chunk: Buffer) => {
+                timer.recordChunk();
                 chunks.push(chunk);
                 length += chunk.length;
                 if (length > maxSnapshotBytes) {
@@ -70,7 +72,11 @@
                 );
             });
         });
-        const timer = setTimeout(() => finish(Left("request timed out")), requestTimeoutMillis);
+        const timer = startTransferTimer({
+            firstByteMillis: silenceTimeoutMillis,
+            silenceMillis: silenceTimeoutMillis,
+            maxTransferMillis
+        }, detail => finish(Left(detail)));
         request.on("error", error => finish(Left(error.message)));
     });
 }
--- a/packages/endivebridge-gateway/src/__tests__/unit/SnapshotTransfer.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/SnapshotTransfer.test.ts
@@ -63,6 +63,30 @@
     t.deepEqual(makeStateSnapshot(configurationOf(beliefs), beliefs.servers, beliefs.evacuatedDomains), beliefs);
 });
 
+test("fetches a snapshot that takes longer than the response timeout while bytes keep arriving", async t => {
+    const body = Buffer.from(JSON.stringify(beliefs));
+    const pieceBytes = Math.ceil(body.length / 25);
+    const server = createServer(({}, response) => {
+        response.writeHead(200, { "Content-Length": body.length });
+        let sentBytes = 0;
+        const timer = setInterval(() => {
+            response.write(body.subarray(sentBytes, sentBytes + pieceBytes));
+            sentBytes += pieceBytes;
+            if (sentBytes >= body.length) {
+                clearInterval(timer);
+                response.end();
+            }
+        }, 100);
+        response.on("close", () => clearInterval(timer));
+    });
+    t.teardown(() => server.close());
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port: peerPort } = server.address() as AddressInfo;
+    const answer = await fetchSnapshot({ name: "sibling", host: "127.0.0.1", peerPort });
+    t.deepEqual(answer.extract(), beliefs);
+});
+
 test("rejects truncated, malformed and refused snapshots", async t => {
     const text = JSON.stringify(beliefs);
     const answers = [
