Keep the long poll if a peer reports a version already read past

An instance compared its peers' versions with the newest row that it had read. A removed row has a newer version that a restarted instance never reads, so every report of a peer made it abort its long poll and call the store again until the table changed next.

--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -59,7 +59,7 @@
     /** Records the newest version read from a table of the store, which is sent to peers. */
     readonly recordTableVersion: (table: string, version: number) => void;
     /** Registers a listener for tables of which a peer has read a newer version than this instance. */
-    readonly registerNewerTableVersionListener: (listener: (table: string) => void) => Teardown;
+    readonly registerNewerTableVersionListener: (listener: (table: string, version: number) => void) => Teardown;
     /** Whether some live member has had access to the store for at least this long. */
     readonly hasMemberWithStoreAccess: (millis: number) => boolean;
     readonly addMember: (record: MemberRecord) => void;
@@ -116,7 +116,7 @@
     let stoppingSinceMillis: number | undefined;
     let hasStoreSinceMillis: number | undefined;
     const tableVersions: Record<string, number> = {};
-    const newerTableListeners = new Set<(table: string) => void>();
+    const newerTableListeners = new Set<(table: string, version: number) => void>();
 
     const beliefs = makeKnownState({
         pool,
@@ -274,7 +274,7 @@
         onReport: report => {
             for (const [table, version] of Object.entries(report.tableVersions)) {
                 if (version > (tableVersions[table] ?? Infinity)) {
-                    newerTableListeners.forEach(listener => listener(table));
+                    newerTableListeners.forEach(listener => listener(table, version));
                 }
             }
             const inFlightByServer = members.inFlight(monotonicMillis());
