Gateway: log and count what closed the connection of an unanswered request

A `failed abandoned` line did not say whether the caller or this instance closed the connection, so requests that this instance lost looked like callers that left. `closedBy` names the closer, and endivebridge_unanswered_requests_total counts all requests that are unanswered when their connection closes. No change of what callers see.

--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -1,6 +1,9 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import type { AttemptAgeEstimator, RouteTable, TrafficConfiguration, TrafficSplit } from "@endivebridge/traffic";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import { type CallerConnection, type ConnectionCloser, makeCallerConnection } from "./CallerConnection";
 import { type CallerRequest, endToEndHeaders, makeCallerRequest } from "./CallerRequest";
 import type { Dialect } from "./Dialect";
 import type { EventLog } from "./EventLog";
@@ -54,6 +57,20 @@
 export function makeCallerServer(parts: CallerServerParts): CallerServer {
     let openRequests = 0;
     let bufferedBytes = 0;
+    const connections = new WeakMap<Duplex, CallerConnection>();
+
+    const connectionOf = (socket: Socket): CallerConnection => {
+        const known = connections.get(socket);
+        if (known !== undefined) {
+            return known;
+        }
+        const connection = makeCallerConnection(
+            socket,
+            closedBy => parts.metrics.unansweredRequests.inc({ closedBy })
+        );
+        connections.set(socket, connection);
+        return connection;
+    };
 
     const readBody = (
         message: IncomingMessage,
@@ -85,6 +102,7 @@
     };
 
     const sendFinalAnswer = (
+        connection: CallerConnection,
         response: ServerResponse,
         requestId: string | undefined,
         kind: FinalAnswerKind,
@@ -92,6 +110,9 @@
     ) => {
         const { status, meaning } = finalAnswers[kind];
         const body = `${JSON.stringify({ error: meaning })}\n`;
+        if (parts.isLeaving()) {
+            connection.closeAfter(response);
+        }
         response.writeHead(status, {
             "Content-Type": "application/json",
             "Content-Length": Buffer.byteLength(body),
@@ -102,11 +123,17 @@
         response.end(body);
     };
 
-    const sendAnswer = (response: ServerResponse, method: string, answer: ServerAnswer) => {
+    const sendAnswer = (
+        connection: CallerConnection,
+        response: ServerResponse,
+        method: string,
+        answer: ServerAnswer
+    ) => {
         const headers = endToEndHeaders(answer.rawHeaders, answer.headers.connection);
         const flat = headers.flatMap(([name, value]) => [name, value]);
         if (parts.isLeaving()) {
             flat.push("Connection", "close");
+            connection.closeAfter(response);
         }
         if (answer.unreadBody !== undefined) {
             const declared = answer.headers["content-length"];
@@ -115,10 +142,14 @@
                 declared === undefined ? flat : [...flat, "Content-Length", declared]
             );
             response.write(answer.body);
-            answer.unreadBody.on("error", () => response.destroy());
+            const closeTruncated = () => {
+                connection.recordClosing("truncatedAnswer");
+                response.destroy();
+            };
+            answer.unreadBody.on("error", closeTruncated);
             answer.unreadBody.on("close", () => {
                 if (answer.unreadBody?.complete !== true) {
-                    response.destroy();
+                    closeTruncated();
                 }
             });
             answer.unreadBody.pipe(response);
@@ -129,6 +160,7 @@
             // The end of the connection delimits this body; a Content-Length would make a truncated body look complete.
             response.useChunkedEncodingByDefault = false;
             response.shouldKeepAlive = false;
+            connection.closeAfter(response);
             response.writeHead(answer.status, flat);
             response.end(answer.body);
             return;
@@ -170,10 +202,11 @@
         request: CallerRequest,
         routed: RoutedRequest | undefined,
         result: RequestResult,
-        at: number
+        at: number,
+        closedBy?: ConnectionCloser
     ) => {
         const tookMillis = monotonicMillis() - at;
-        const outcome = result.kind === "own" ? result.answer : result.kind;
+        const outcome = closedBy !== undefined ? "abandoned" : result.kind === "own" ? result.answer : result.kind;
         const routeName = routed?.route.name ?? "none";
         parts.metrics.requests.inc({ route: routeName, outcome });
         parts.metrics.latency.observe({ route: routeName }, tookMillis / 1_000);
@@ -187,12 +220,13 @@
             sinceFirstAttemptMillis: routed?.sinceFirstAttemptMillis,
             affinityKey: request.affinityKey,
             outcome,
+            closedBy,
             ...result.kind === "answered" ? { status: result.answer.status, ...result.send } : {},
             ...result.kind === "own"
                 ? { status: finalAnswers[result.answer].status, retryAfterMillis: result.retryAfterMillis }
                 : {}
         };
-        if (result.kind === "answered" && result.answer.status < 500) {
+        if (outcome === "answered" && result.kind === "answered" && result.answer.status < 500) {
             parts.log.info("answered", fields, "request answered");
         }
         else {
@@ -200,7 +234,11 @@
         }
     };
 
-    const handle = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const handle = async (
+        connection: CallerConnection,
+        message: IncomingMessage,
+        response: ServerResponse
+    ): Promise<void> => {
         const limits = parts.configuration()?.configuration.callerLimits;
         const body = await readBody(message, limits?.bodyBytes ?? maxBufferedBodyBytes);
         const arrivedMillis = monotonicMillis();
@@ -222,7 +260,7 @@
             : route(request, arrivedMillis);
         if (typeof routed === "string") {
             const retryAfterMillis = finalAnswers[routed].status === 503 ? earlyRefusalRetryMillis : undefined;
-            sendFinalAnswer(response, request.id, routed, retryAfterMillis);
+            sendFinalAnswer(connection, response, request.id, routed, retryAfterMillis);
             logResult(request, undefined, { kind: "own", answer: routed, retryAfterMillis }, arrivedMillis);
             return;
         }
@@ -233,26 +271,31 @@
             }
         });
         const result = await running.result;
+        const closedBy = connection.closedBy();
         if (result.kind === "answered" && !response.destroyed) {
-            sendAnswer(response, request.method, result.answer);
+            sendAnswer(connection, response, request.method, result.answer);
         }
         if (result.kind === "own" && !response.destroyed) {
-            sendFinalAnswer(response, request.id, result.answer, result.retryAfterMillis);
+            sendFinalAnswer(connection, response, request.id, result.answer, result.retryAfterMillis);
         }
-        logResult(request, routed, result, arrivedMillis);
+        logResult(request, routed, result, arrivedMillis, closedBy);
     };
 
     const server = createServer({ keepAliveTimeout: initialIdleTimeoutMillis, noDelay: true }, (message, response) => {
         openRequests += 1;
         response.sendDate = false;
         response.once("close", () => openRequests -= 1);
-        handle(message, response).catch((error: unknown) => {
+        const connection = connectionOf(message.socket);
+        connection.addRequest(response);
+        handle(connection, message, response).catch((error: unknown) => {
             parts.log.error("fault", { error: String(error) }, "unexpected error while responding to a caller");
+            connection.recordClosing("fault");
             response.destroy();
         });
     });
     server.on("clientError", (error, socket) => {
         parts.log.info("bad request", { error: error.message }, "caller connection closed after a protocol error");
+        connections.get(socket)?.recordClosing("protocolError");
         if (socket.writable) {
             socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
         }
--- a/packages/endivebridge-gateway/src/GatewayMetrics.ts
+++ b/packages/endivebridge-gateway/src/GatewayMetrics.ts
@@ -18,6 +18,12 @@
             labelNames: ["route", "outcome"],
             registers
         }),
+        unansweredRequests: new Counter({
+            name: "endivebridge_unanswered_requests_total",
+            help: "Requests whose connection closed before their answer was written, by what closed it",
+            labelNames: ["closedBy"],
+            registers
+        }),
         latency: new Histogram({
             name: "endivebridge_request_seconds",
             help: "Time from a request's arrival to its final answer",
