Gateway: cancel every pipelined request when its connection closes

Node emits `close` only on the response that is being written, not on those of pipelined requests behind it. After a caller had left, or after an answer that closed the connection, these requests ran on at backend servers, were logged as answered, and were counted as open until the process ended, so that a later shutdown always took its whole time. Requests are now ended by the close of their connection. The test "cancels every pipelined request of a caller that disconnected" failed before: only the first of two requests was cancelled.

--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -3,7 +3,12 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
-import { type CallerConnection, type ConnectionCloser, makeCallerConnection } from "./CallerConnection";
+import {
+    type CallerConnection,
+    type ConnectionCloser,
+    type ConnectionRequest,
+    makeCallerConnection
+} from "./CallerConnection";
 import { type CallerRequest, endToEndHeaders, makeCallerRequest } from "./CallerRequest";
 import type { Dialect } from "./Dialect";
 import type { EventLog } from "./EventLog";
@@ -236,6 +241,7 @@
 
     const handle = async (
         connection: CallerConnection,
+        connectionRequest: ConnectionRequest,
         message: IncomingMessage,
         response: ServerResponse
     ): Promise<void> => {
@@ -248,7 +254,7 @@
         const stateComplete = parts.whenStateComplete();
         if (stateComplete !== undefined) {
             await stateComplete;
-            if (response.destroyed) {
+            if (connection.closedBy() !== undefined) {
                 return;
             }
         }
@@ -265,17 +271,13 @@
             return;
         }
         const running = parts.run(routed);
-        response.on("close", () => {
-            if (!response.writableFinished) {
-                running.abandon();
-            }
-        });
+        connectionRequest.setCloseListener(running.abandon);
         const result = await running.result;
         const closedBy = connection.closedBy();
-        if (result.kind === "answered" && !response.destroyed) {
+        if (result.kind === "answered" && closedBy === undefined) {
             sendAnswer(connection, response, request.method, result.answer);
         }
-        if (result.kind === "own" && !response.destroyed) {
+        if (result.kind === "own" && closedBy === undefined) {
             sendFinalAnswer(connection, response, request.id, result.answer, result.retryAfterMillis);
         }
         logResult(request, routed, result, arrivedMillis, closedBy);
@@ -284,10 +286,9 @@
     const server = createServer({ keepAliveTimeout: initialIdleTimeoutMillis, noDelay: true }, (message, response) => {
         openRequests += 1;
         response.sendDate = false;
-        response.once("close", () => openRequests -= 1);
         const connection = connectionOf(message.socket);
-        connection.addRequest(response);
-        handle(connection, message, response).catch((error: unknown) => {
+        const connectionRequest = connection.addRequest(response, () => openRequests -= 1);
+        handle(connection, connectionRequest, message, response).catch((error: unknown) => {
             parts.log.error("fault", { error: String(error) }, "unexpected error while responding to a caller");
             connection.recordClosing("fault");
             response.destroy();
