Gateway: close a connection in a shutdown only after the last answer that was passed on

Callers that pipeline lost requests in a shutdown: every answer said `Connection: close`, and Node closes the connection after the first one that does, while the requests behind it were at backend servers. Seen in the test "a closing answer in a shutdown does not cut off a pipelined request that was passed on", which failed before: the connection ended after the first answer.

An answer is now composed when the ones ahead of it are written, so that it can tell whether a request behind it was passed on. Only the last of these closes the connection, and nothing is passed on behind it: callers send such requests again whatever their kind.

--- a/packages/endivebridge-gateway/src/CallerConnection.ts
+++ b/packages/endivebridge-gateway/src/CallerConnection.ts
@@ -10,24 +10,40 @@
     readonly addRequest: (response: ServerResponse, onEnd: () => void) => ConnectionRequest;
     /** Records that this instance closes the connection; the first reason is kept. */
     readonly recordClosing: (reason: Exclude<ConnectionCloser, "caller">) => void;
-    /** Records that the connection closes once this answer is written. */
-    readonly closeAfter: (response: ServerResponse) => void;
+    /** Whether an answer closes the connection, so that callers send the requests behind it again elsewhere. */
+    readonly isClosing: () => boolean;
     /** What closed the connection; undefined while it is open. */
     readonly closedBy: () => ConnectionCloser | undefined;
 }
 
 /** A request of a connection until its answer is written. */
 export interface ConnectionRequest {
+    /** Records that the request was passed on, so that answers ahead of it keep the connection open. */
+    readonly setPassedOn: () => void;
+    /** Resolves once the answers ahead are written, or with false if the connection has closed or is closing. */
+    readonly whenNextToAnswer: () => Promise<boolean>;
+    /** Whether a request behind this one was passed on and is unanswered. */
+    readonly hasPassedOnBehind: () => boolean;
+    /** Records that the answer to this request closes the connection. */
+    readonly closeAfterAnswer: () => void;
     /** Registers the listener that is called if the connection closes before the answer is written. */
     readonly setCloseListener: (listener: () => void) => void;
 }
 
-/** Tracks a connection; `onUnanswered` is called for each request that is unanswered when the connection closes. */
+interface UnansweredRequest {
+    readonly onEnd: () => void;
+    isPassedOn: boolean;
+    onClose: () => void;
+    onNextToAnswer: (isWritable: boolean) => void;
+}
+
+/** Tracks a connection; `onUnanswered` is called for each passed-on request that is unanswered when it closes. */
 export function makeCallerConnection(
     socket: Socket,
     onUnanswered: (closedBy: ConnectionCloser) => void
 ): CallerConnection {
-    const unanswered = new Set<{ onClose: () => void; readonly onEnd: () => void; }>();
+    const unanswered = new Set<UnansweredRequest>();
+    let isClosing = false;
     let closer: ConnectionCloser = "caller";
     const recordClosing: CallerConnection["recordClosing"] = reason => {
         if (closer === "caller") {
@@ -38,24 +54,50 @@
     socket.once("close", () => {
         for (const request of unanswered) {
             unanswered.delete(request);
-            onUnanswered(closer);
+            if (request.isPassedOn) {
+                onUnanswered(closer);
+            }
             request.onClose();
+            request.onNextToAnswer(false);
             request.onEnd();
         }
     });
     return {
         addRequest: (response, onEnd) => {
-            const request = { onClose: (): void => undefined, onEnd };
+            const request: UnansweredRequest = {
+                onEnd,
+                isPassedOn: false,
+                onClose: () => undefined,
+                onNextToAnswer: () => undefined
+            };
             unanswered.add(request);
             response.once("finish", () => {
                 if (unanswered.delete(request)) {
                     onEnd();
+                    const [next] = unanswered;
+                    next?.onNextToAnswer(!isClosing);
                 }
             });
-            return { setCloseListener: listener => request.onClose = listener };
+            return {
+                setPassedOn: () => request.isPassedOn = true,
+                whenNextToAnswer: () => {
+                    const [next] = unanswered;
+                    return isClosing || !unanswered.has(request)
+                        ? Promise.resolve(false)
+                        : next === request
+                        ? Promise.resolve(true)
+                        : new Promise(resolve => request.onNextToAnswer = resolve);
+                },
+                hasPassedOnBehind: () => [...unanswered].some(other => other !== request && other.isPassedOn),
+                closeAfterAnswer: () => {
+                    isClosing = true;
+                    response.once("finish", () => recordClosing("closingAnswer"));
+                },
+                setCloseListener: listener => request.onClose = listener
+            };
         },
         recordClosing,
-        closeAfter: response => response.once("finish", () => recordClosing("closingAnswer")),
+        isClosing: () => isClosing,
         closedBy: () => socket.destroyed ? closer : undefined
     };
 }
--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -106,8 +106,12 @@
         });
     };
 
+    /** Whether this answer ends its connection: in a shutdown, unless a request behind it was passed on. */
+    const closesConnection = (connectionRequest: ConnectionRequest): boolean =>
+        parts.isLeaving() && !connectionRequest.hasPassedOnBehind();
+
     const sendFinalAnswer = (
-        connection: CallerConnection,
+        connectionRequest: ConnectionRequest,
         response: ServerResponse,
         requestId: string | undefined,
         kind: FinalAnswerKind,
@@ -115,30 +119,32 @@
     ) => {
         const { status, meaning } = finalAnswers[kind];
         const body = `${JSON.stringify({ error: meaning })}\n`;
-        if (parts.isLeaving()) {
-            connection.closeAfter(response);
+        const isClosing = closesConnection(connectionRequest);
+        if (isClosing) {
+            connectionRequest.closeAfterAnswer();
         }
         response.writeHead(status, {
             "Content-Type": "application/json",
             "Content-Length": Buffer.byteLength(body),
             ...requestId === undefined ? {} : { [parts.dialect.requestIdHeader]: requestId },
             ...retryAfterMillis === undefined ? {} : { "Retry-After": (retryAfterMillis / 1_000).toFixed(3) },
-            ...parts.isLeaving() ? { "Connection": "close" } : {}
+            ...isClosing ? { "Connection": "close" } : {}
         });
         response.end(body);
     };
 
     const sendAnswer = (
         connection: CallerConnection,
+        connectionRequest: ConnectionRequest,
         response: ServerResponse,
         method: string,
         answer: ServerAnswer
     ) => {
         const headers = endToEndHeaders(answer.rawHeaders, answer.headers.connection);
         const flat = headers.flatMap(([name, value]) => [name, value]);
-        if (parts.isLeaving()) {
+        if (closesConnection(connectionRequest)) {
             flat.push("Connection", "close");
-            connection.closeAfter(response);
+            connectionRequest.closeAfterAnswer();
         }
         if (answer.unreadBody !== undefined) {
             const declared = answer.headers["content-length"];
@@ -165,7 +171,7 @@
             // The end of the connection delimits this body; a Content-Length would make a truncated body look complete.
             response.useChunkedEncodingByDefault = false;
             response.shouldKeepAlive = false;
-            connection.closeAfter(response);
+            connectionRequest.closeAfterAnswer();
             response.writeHead(answer.status, flat);
             response.end(answer.body);
             return;
@@ -254,9 +260,10 @@
         const stateComplete = parts.whenStateComplete();
         if (stateComplete !== undefined) {
             await stateComplete;
-            if (connection.closedBy() !== undefined) {
-                return;
-            }
+        }
+        if (connection.closedBy() !== undefined || connection.isClosing()) {
+            // Behind an answer that closes the connection: callers send such a request again.
+            return;
         }
         const request = makeCallerRequest(parts.dialect, message, Buffer.isBuffer(body) ? body : Buffer.alloc(0));
         const routed = body === "too large"
@@ -266,21 +273,24 @@
             : route(request, arrivedMillis);
         if (typeof routed === "string") {
             const retryAfterMillis = finalAnswers[routed].status === 503 ? earlyRefusalRetryMillis : undefined;
-            sendFinalAnswer(connection, response, request.id, routed, retryAfterMillis);
-            logResult(request, undefined, { kind: "own", answer: routed, retryAfterMillis }, arrivedMillis);
+            if (await connectionRequest.whenNextToAnswer()) {
+                sendFinalAnswer(connectionRequest, response, request.id, routed, retryAfterMillis);
+                logResult(request, undefined, { kind: "own", answer: routed, retryAfterMillis }, arrivedMillis);
+            }
             return;
         }
         const running = parts.run(routed);
+        connectionRequest.setPassedOn();
         connectionRequest.setCloseListener(running.abandon);
         const result = await running.result;
-        const closedBy = connection.closedBy();
-        if (result.kind === "answered" && closedBy === undefined) {
-            sendAnswer(connection, response, request.method, result.answer);
+        const isWritable = await connectionRequest.whenNextToAnswer();
+        if (isWritable && result.kind === "answered") {
+            sendAnswer(connection, connectionRequest, response, request.method, result.answer);
         }
-        if (result.kind === "own" && closedBy === undefined) {
-            sendFinalAnswer(connection, response, request.id, result.answer, result.retryAfterMillis);
+        if (isWritable && result.kind === "own") {
+            sendFinalAnswer(connectionRequest, response, request.id, result.answer, result.retryAfterMillis);
         }
-        logResult(request, routed, result, arrivedMillis, closedBy);
+        logResult(request, routed, result, arrivedMillis, isWritable ? undefined : connection.closedBy());
     };
 
     const server = createServer({ keepAliveTimeout: initialIdleTimeoutMillis, noDelay: true }, (message, response) => {
