Gateway: keep a connection with pipelined requests open after an answer without a length

Callers that pipeline lost requests that were at backend servers: an answer without a length was delimited by the end of its connection, which cut off the requests behind it. Seen in the test "an answer without a length does not cut off a pipelined request that was passed on", which failed before: the connection ended after the first answer.

If a request behind it was passed on, such an answer is now sent in chunks. It is buffered whole, and it only gets that far if the backend server closed its connection cleanly, which HTTP/1.1 defines as the end of the message; after a reset it is lost. Without requests behind it, it is still delimited by the end of the connection. Holding back later requests until the framing of the first answer is known would take the benefit of pipelining from every caller.

--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -168,6 +168,13 @@
         }
         const hasBody = answer.status !== 204 && answer.status !== 304;
         if (!answer.hasDeclaredLength && hasBody && method !== "HEAD") {
+            if (connectionRequest.hasPassedOnBehind()) {
+                // Chunks keep the connection open for the requests behind. The body is complete: the backend server
+                // closed its connection cleanly, and an answer cut off by a reset is never passed on.
+                response.writeHead(answer.status, flat);
+                response.end(answer.body);
+                return;
+            }
             // The end of the connection delimits this body; a Content-Length would make a truncated body look complete.
             response.useChunkedEncodingByDefault = false;
             response.shouldKeepAlive = false;
