Gateway: never complete a large answer without a length that was reset

Callers got a truncated body that looked complete: the connection to the backend server was reset within an answer without a length that exceeds the buffer. On a reset, Node finishes its parser, which reports such a response as complete, so the chunked answer was ended properly. The response is now destroyed with the error before Node does so, and the caller sees the connection end within the body. The test "an answer without a length that is reset never looks complete" failed before with 600,000 bytes; 1,000 bytes were handled already.

--- a/packages/endivebridge-gateway/src/Exchange.ts
+++ b/packages/endivebridge-gateway/src/Exchange.ts
@@ -103,6 +103,8 @@
         // Invalid bytes that follow a complete response do not invalidate it.
         if (response?.complete !== true) {
             fail(error.message, error.code === "ECONNRESET" || error.code === "EPIPE");
+            // Otherwise Node reports a response without a length as complete after a reset.
+            response?.destroy(error);
         }
     });
     request.on("response", incoming => {
