Gateway: answer the requests ahead of invalid bytes before the connection closes

Callers got 400 and the end of the connection in place of the answer to an earlier request that was at a backend server, if invalid bytes or an incomplete head that timed out followed it.

The 400 is now written after the answers to all requests that were read completely. A caller that has closed its side is not waited for, so its requests are still cancelled at once.

--- a/packages/endivebridge-gateway/src/CallerConnection.ts
+++ b/packages/endivebridge-gateway/src/CallerConnection.ts
@@ -12,6 +12,8 @@
     readonly recordClosing: (reason: Exclude<ConnectionCloser, "caller">) => void;
     /** Whether an answer closes the connection, so that callers send the requests behind it again elsewhere. */
     readonly isClosing: () => boolean;
+    /** Calls the listener once no request that was read completely is unanswered; at once if there is none. */
+    readonly afterReadRequests: (listener: () => void) => void;
     /** What closed the connection; undefined while it is open. */
     readonly closedBy: () => ConnectionCloser | undefined;
 }
@@ -31,6 +33,7 @@
 }
 
 interface UnansweredRequest {
+    readonly response: ServerResponse;
     readonly onEnd: () => void;
     isPassedOn: boolean;
     onClose: () => void;
@@ -45,6 +48,13 @@
     const unanswered = new Set<UnansweredRequest>();
     let isClosing = false;
     let closer: ConnectionCloser = "caller";
+    let onReadRequestsAnswered: (() => void) | undefined;
+    const notifyIfReadRequestsAnswered = () => {
+        if (![...unanswered].some(({ response }) => response.req.complete)) {
+            onReadRequestsAnswered?.();
+            onReadRequestsAnswered = undefined;
+        }
+    };
     const recordClosing: CallerConnection["recordClosing"] = reason => {
         if (closer === "caller") {
             closer = reason;
@@ -65,6 +75,7 @@
     return {
         addRequest: (response, onEnd) => {
             const request: UnansweredRequest = {
+                response,
                 onEnd,
                 isPassedOn: false,
                 onClose: () => undefined,
@@ -76,6 +87,7 @@
                     onEnd();
                     const [next] = unanswered;
                     next?.onNextToAnswer(!isClosing);
+                    notifyIfReadRequestsAnswered();
                 }
             });
             return {
@@ -98,6 +110,10 @@
         },
         recordClosing,
         isClosing: () => isClosing,
+        afterReadRequests: listener => {
+            onReadRequestsAnswered = listener;
+            notifyIfReadRequestsAnswered();
+        },
         closedBy: () => socket.destroyed ? closer : undefined
     };
 }
--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -312,13 +312,25 @@
         });
     });
     server.on("clientError", (error, socket) => {
-        parts.log.info("bad request", { error: error.message }, "caller connection closed after a protocol error");
-        connections.get(socket)?.recordClosing("protocolError");
-        if (socket.writable) {
-            socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        const connection = connections.get(socket);
+        const close = () => {
+            if (connection?.isClosing() === true) {
+                return;
+            }
+            parts.log.info("bad request", { error: error.message }, "caller connection closed after a protocol error");
+            connection?.recordClosing("protocolError");
+            if (socket.writable) {
+                socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+            }
+            else {
+                socket.destroy();
+            }
+        };
+        if (connection === undefined || !socket.writable || socket.readableEnded) {
+            close();
         }
         else {
-            socket.destroy();
+            connection.afterReadRequests(close);
         }
     });
     return { server, openRequests: () => openRequests };
