--- /dev/null
+++ b/packages/endivebridge-gateway/src/CallerConnection.ts
@@ -0,0 +1,119 @@
+import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+/** What closed a caller's connection: the caller, or this instance for the given reason. */
+export type ConnectionCloser = "caller" | "closingAnswer" | "truncatedAnswer" | "protocolError" | "fault";
+
+/** One connection of a caller, with its requests whose answers are not written yet. */
+export interface CallerConnection {
+    /** Adds a request; `onEnd` is called once its answer is written or the connection has closed. */
+    readonly addRequest: (response: ServerResponse, onEnd: () => void) => ConnectionRequest;
+    /** Records that this instance closes the connection; the first reason is kept. */
+    readonly recordClosing: (reason: Exclude<ConnectionCloser, "caller">) => void;
+    /** Whether an answer closes the connection, so that callers send the requests behind it again elsewhere. */
+    readonly isClosing: () => boolean;
+    /** Calls the listener once no request that was read completely is unanswered; at once if there is none. */
+    readonly afterReadRequests: (listener: () => void) => void;
+    /** What closed the connection; undefined while it is open. */
+    readonly closedBy: () => ConnectionCloser | undefined;
+}
+
+/** A request of a connection until its answer is written. */
+export interface ConnectionRequest {
+    /** Records that the request was passed on, so that answers ahead of it keep the connection open. */
+    readonly setPassedOn: () => void;
+    /** Resolves once the answers ahead are written, or with false if the connection has closed or is closing. */
+    readonly whenNextToAnswer: () => Promise<boolean>;
+    /** Whether a request behind this one was passed on and is unanswered. */
+    readonly hasPassedOnBehind: () => boolean;
+    /** Records that the answer to this request closes the connection. */
+    readonly closeAfterAnswer: () => void;
+    /** Registers the listener that is called if the connection closes before the answer is written. */
+    readonly setCloseListener: (listener: () => void) => void;
+}
+
+interface UnansweredRequest {
+    readonly response: ServerResponse;
+    readonly onEnd: () => void;
+    isPassedOn: boolean;
+    onClose: () => void;
+    onNextToAnswer: (isWritable: boolean) => void;
+}
+
+/** Tracks a connection; `onUnanswered` is called for each passed-on request that is unanswered when it closes. */
+export function makeCallerConnection(
+    socket: Socket,
+    onUnanswered: (closedBy: ConnectionCloser) => void
+): CallerConnection {
+    const unanswered = new Set<UnansweredRequest>();
+    let isClosing = false;
+    let closer: ConnectionCloser = "caller";
+    let onReadRequestsAnswered: (() => void) | undefined;
+    const notifyIfReadRequestsAnswered = () => {
+        if (![...unanswered].some(({ response }) => response.req.complete)) {
+            onReadRequestsAnswered?.();
+            onReadRequestsAnswered = undefined;
+        }
+    };
+    const recordClosing: CallerConnection["recordClosing"] = reason => {
+        if (closer === "caller") {
+            closer = reason;
+        }
+    };
+    // Node emits `close` only on the first response of a connection, not on those of pipelined requests behind it.
+    socket.once("close", () => {
+        for (const request of unanswered) {
+            unanswered.delete(request);
+            if (request.isPassedOn) {
+                onUnanswered(closer);
+            }
+            request.onClose();
+            request.onNextToAnswer(false);
+            request.onEnd();
+        }
+    });
+    return {
+        addRequest: (response, onEnd) => {
+            const request: UnansweredRequest = {
+                response,
+                onEnd,
+                isPassedOn: false,
+                onClose: () => undefined,
+                onNextToAnswer: () => undefined
+            };
+            unanswered.add(request);
+            response.once("finish", () => {
+                if (unanswered.delete(request)) {
+                    onEnd();
+                    const [next] = unanswered;
+                    next?.onNextToAnswer(!isClosing);
+                    notifyIfReadRequestsAnswered();
+                }
+            });
+            return {
+                setPassedOn: () => request.isPassedOn = true,
+                whenNextToAnswer: () => {
+                    const [next] = unanswered;
+                    return isClosing || !unanswered.has(request)
+                        ? Promise.resolve(false)
+                        : next === request
+                        ? Promise.resolve(true)
+                        : new Promise(resolve => request.onNextToAnswer = resolve);
+                },
+                hasPassedOnBehind: () => [...unanswered].some(other => other !== request && other.isPassedOn),
+                closeAfterAnswer: () => {
+                    isClosing = true;
+                    response.once("finish", () => recordClosing("closingAnswer"));
+                },
+                setCloseListener: listener => request.onClose = listener
+            };
+        },
+        recordClosing,
+        isClosing: () => isClosing,
+        afterReadRequests: listener => {
+            onReadRequestsAnswered = listener;
+            notifyIfReadRequestsAnswered();
+        },
+        closedBy: () => socket.destroyed ? closer : undefined
+    };
+}
--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -1,6 +1,14 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import type { AttemptAgeEstimator, RouteTable, TrafficConfiguration, TrafficSplit } from "@endivebridge/traffic";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import {
+    type CallerConnection,
+    type ConnectionCloser,
+    type ConnectionRequest,
+    makeCallerConnection
+} from "./CallerConnection";
 import { type CallerRequest, endToEndHeaders, makeCallerRequest } from "./CallerRequest";
 import type { Dialect } from "./Dialect";
 import type { EventLog } from "./EventLog";
@@ -54,6 +62,20 @@
 export function makeCallerServer(parts: CallerServerParts): CallerServer {
     let openRequests = 0;
     let bufferedBytes = 0;
+    const connections = new WeakMap<Duplex, CallerConnection>();
+
+    const connectionOf = (socket: Socket): CallerConnection => {
+        const known = connections.get(socket);
+        if (known !== undefined) {
+            return known;
+        }
+        const connection = makeCallerConnection(
+            socket,
+            closedBy => parts.metrics.unansweredRequests.inc({ closedBy })
+        );
+        connections.set(socket, connection);
+        return connection;
+    };
 
     const readBody = (
         message: IncomingMessage,
@@ -84,7 +106,12 @@
         });
     };
 
+    /** Whether this answer ends its connection: in a shutdown, unless a request behind it was passed on. */
+    const closesConnection = (connectionRequest: ConnectionRequest): boolean =>
+        parts.isLeaving() && !connectionRequest.hasPassedOnBehind();
+
     const sendFinalAnswer = (
+        connectionRequest: ConnectionRequest,
         response: ServerResponse,
         requestId: string | undefined,
         kind: FinalAnswerKind,
@@ -92,21 +119,32 @@
     ) => {
         const { status, meaning } = finalAnswers[kind];
         const body = `${JSON.stringify({ error: meaning })}\n`;
+        const isClosing = closesConnection(connectionRequest);
+        if (isClosing) {
+            connectionRequest.closeAfterAnswer();
+        }
         response.writeHead(status, {
             "Content-Type": "application/json",
             "Content-Length": Buffer.byteLength(body),
             ...requestId === undefined ? {} : { [parts.dialect.requestIdHeader]: requestId },
             ...retryAfterMillis === undefined ? {} : { "Retry-After": (retryAfterMillis / 1_000).toFixed(3) },
-            ...parts.isLeaving() ? { "Connection": "close" } : {}
+            ...isClosing ? { "Connection": "close" } : {}
         });
         response.end(body);
     };
 
-    const sendAnswer = (response: ServerResponse, method: string, answer: ServerAnswer) => {
+    const sendAnswer = (
+        connection: CallerConnection,
+        connectionRequest: ConnectionRequest,
+        response: ServerResponse,
+        method: string,
+        answer: ServerAnswer
+    ) => {
         const headers = endToEndHeaders(answer.rawHeaders, answer.headers.connection);
         const flat = headers.flatMap(([name, value]) => [name, value]);
-        if (parts.isLeaving()) {
+        if (closesConnection(connectionRequest)) {
             flat.push("Connection", "close");
+            connectionRequest.closeAfterAnswer();
         }
         if (answer.unreadBody !== undefined) {
             const declared = answer.headers["content-length"];
@@ -115,10 +153,14 @@
                 declared === undefined ? flat : [...flat, "Content-Length", declared]
             );
             response.write(answer.body);
-            answer.unreadBody.on("error", () => response.destroy());
+            const closeTruncated = () => {
+                connection.recordClosing("truncatedAnswer");
+                response.destroy();
+            };
+            answer.unreadBody.on("error", closeTruncated);
             answer.unreadBody.on("close", () => {
                 if (answer.unreadBody?.complete !== true) {
-                    response.destroy();
+                    closeTruncated();
                 }
             });
             answer.unreadBody.pipe(response);
@@ -126,9 +168,17 @@
         }
         const hasBody = answer.status !== 204 && answer.status !== 304;
         if (!answer.hasDeclaredLength && hasBody && method !== "HEAD") {
+            if (connectionRequest.hasPassedOnBehind()) {
+                // Chunks keep the connection open for the requests behind. The body is complete: the backend server
+                // closed its connection cleanly, and an answer cut off by a reset is never passed on.
+                response.writeHead(answer.status, flat);
+                response.end(answer.body);
+                return;
+            }
             // The end of the connection delimits this body; a Content-Length would make a truncated body look complete.
             response.useChunkedEncodingByDefault = false;
             response.shouldKeepAlive = false;
+            connectionRequest.closeAfterAnswer();
             response.writeHead(answer.status, flat);
             response.end(answer.body);
             return;
@@ -170,10 +220,11 @@
         request: CallerRequest,
         routed: RoutedRequest | undefined,
         result: RequestResult,
-        at: number
+        at: number,
+        closedBy?: ConnectionCloser
     ) => {
         const tookMillis = monotonicMillis() - at;
-        const outcome = result.kind === "own" ? result.answer : result.kind;
+        const outcome = closedBy !== undefined ? "abandoned" : result.kind === "own" ? result.answer : result.kind;
         const routeName = routed?.route.name ?? "none";
         parts.metrics.requests.inc({ route: routeName, outcome });
         parts.metrics.latency.observe({ route: routeName }, tookMillis / 1_000);
@@ -187,12 +238,13 @@
             sinceFirstAttemptMillis: routed?.sinceFirstAttemptMillis,
             affinityKey: request.affinityKey,
             outcome,
+            closedBy,
             ...result.kind === "answered" ? { status: result.answer.status, ...result.send } : {},
             ...result.kind === "own"
                 ? { status: finalAnswers[result.answer].status, retryAfterMillis: result.retryAfterMillis }
                 : {}
         };
-        if (result.kind === "answered" && result.answer.status < 500) {
+        if (outcome === "answered" && result.kind === "answered" && result.answer.status < 500) {
             parts.log.info("answered", fields, "request answered");
         }
         else {
@@ -200,7 +252,12 @@
         }
     };
 
-    const handle = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const handle = async (
+        connection: CallerConnection,
+        connectionRequest: ConnectionRequest,
+        message: IncomingMessage,
+        response: ServerResponse
+    ): Promise<void> => {
         const limits = parts.configuration()?.configuration.callerLimits;
         const body = await readBody(message, limits?.bodyBytes ?? maxBufferedBodyBytes);
         const arrivedMillis = monotonicMillis();
@@ -210,9 +267,10 @@
         const stateComplete = parts.whenStateComplete();
         if (stateComplete !== undefined) {
             await stateComplete;
-            if (response.destroyed) {
-                return;
-            }
+        }
+        if (connection.closedBy() !== undefined || connection.isClosing()) {
+            // Behind an answer that closes the connection: callers send such a request again.
+            return;
         }
         const request = makeCallerRequest(parts.dialect, message, Buffer.isBuffer(body) ? body : Buffer.alloc(0));
         const routed = body === "too large"
@@ -222,42 +280,57 @@
             : route(request, arrivedMillis);
         if (typeof routed === "string") {
             const retryAfterMillis = finalAnswers[routed].status === 503 ? earlyRefusalRetryMillis : undefined;
-            sendFinalAnswer(response, request.id, routed, retryAfterMillis);
-            logResult(request, undefined, { kind: "own", answer: routed, retryAfterMillis }, arrivedMillis);
+            if (await connectionRequest.whenNextToAnswer()) {
+                sendFinalAnswer(connectionRequest, response, request.id, routed, retryAfterMillis);
+                logResult(request, undefined, { kind: "own", answer: routed, retryAfterMillis }, arrivedMillis);
+            }
             return;
         }
         const running = parts.run(routed);
-        response.on("close", () => {
-            if (!response.writableFinished) {
-                running.abandon();
-            }
-        });
+        connectionRequest.setPassedOn();
+        connectionRequest.setCloseListener(running.abandon);
         const result = await running.result;
-        if (result.kind === "answered" && !response.destroyed) {
-            sendAnswer(response, request.method, result.answer);
+        const isWritable = await connectionRequest.whenNextToAnswer();
+        if (isWritable && result.kind === "answered") {
+            sendAnswer(connection, connectionRequest, response, request.method, result.answer);
         }
-        if (result.kind === "own" && !response.destroyed) {
-            sendFinalAnswer(response, request.id, result.answer, result.retryAfterMillis);
+        if (isWritable && result.kind === "own") {
+            sendFinalAnswer(connectionRequest, response, request.id, result.answer, result.retryAfterMillis);
         }
-        logResult(request, routed, result, arrivedMillis);
+        logResult(request, routed, result, arrivedMillis, isWritable ? undefined : connection.closedBy());
     };
 
     const server = createServer({ keepAliveTimeout: initialIdleTimeoutMillis, noDelay: true }, (message, response) => {
         openRequests += 1;
         response.sendDate = false;
-        response.once("close", () => openRequests -= 1);
-        handle(message, response).catch((error: unknown) => {
+        const connection = connectionOf(message.socket);
+        const connectionRequest = connection.addRequest(response, () => openRequests -= 1);
+        handle(connection, connectionRequest, message, response).catch((error: unknown) => {
             parts.log.error("fault", { error: String(error) }, "unexpected error while responding to a caller");
+            connection.recordClosing("fault");
             response.destroy();
         });
     });
     server.on("clientError", (error, socket) => {
-        parts.log.info("bad request", { error: error.message }, "caller connection closed after a protocol error");
-        if (socket.writable) {
-            socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        const connection = connections.get(socket);
+        const close = () => {
+            if (connection?.isClosing() === true) {
+                return;
+            }
+            parts.log.info("bad request", { error: error.message }, "caller connection closed after a protocol error");
+            connection?.recordClosing("protocolError");
+            if (socket.writable) {
+                socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+            }
+            else {
+                socket.destroy();
+            }
+        };
+        if (connection === undefined || !socket.writable || socket.readableEnded) {
+            close();
         }
         else {
-            socket.destroy();
+            connection.afterReadRequests(close);
         }
     });
     return { server, openRequests: () => openRequests };
