Shutdown logs the requests that it leaves without an answer

One line for each request still open at the exit, with its id, when it arrived in the stop and whether it was being read, held, queued, sent or answered, and a counter by stage. No change of logic.

--- a/packages/endivebridge-gateway/src/CallerRequest.ts
+++ b/packages/endivebridge-gateway/src/CallerRequest.ts
@@ -55,14 +55,19 @@
     return undefined;
 }
 
+/** The caller's id of a request; undefined if it sent none. */
+export function requestIdOf(dialect: Dialect, message: IncomingMessage): string | undefined {
+    const id = message.headers[dialect.requestIdHeader];
+    return typeof id === "string" ? id : undefined;
+}
+
 /** Builds a request from an HTTP message and its body. */
 export function makeCallerRequest(dialect: Dialect, message: IncomingMessage, body: Buffer): CallerRequest {
     const target = message.url ?? "/";
     const pairs = endToEndHeaders(message.rawHeaders, message.headers.connection);
     const patience = Number(message.headers[dialect.deadlineHeader]);
-    const id = message.headers[dialect.requestIdHeader];
     return {
-        id: typeof id === "string" ? id : undefined,
+        id: requestIdOf(dialect, message),
         method: message.method ?? "GET",
         host: message.headers.host ?? "",
         target,
--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -1,7 +1,7 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import type { AttemptAgeEstimator, RouteTable, TrafficConfiguration, TrafficSplit } from "@endivebridge/traffic";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { type CallerRequest, endToEndHeaders, makeCallerRequest } from "./CallerRequest";
+import { type CallerRequest, endToEndHeaders, makeCallerRequest, requestIdOf } from "./CallerRequest";
 import type { Dialect } from "./Dialect";
 import type { EventLog } from "./EventLog";
 import type { ServerAnswer } from "./Exchange";
@@ -33,10 +33,38 @@
     readonly metrics: GatewayMetrics;
 }
 
-/** The HTTP server for callers and its number of open requests. */
+/** How far an open request has got: body incomplete, held by a starting instance, queued, or sent to a server. */
+export type RequestStage = "reading" | "held" | "queued" | "sent" | "answering";
+
+/** A request whose response is not closed yet. */
+export interface OpenRequest {
+    readonly id: string | undefined;
+    /** Undefined until the body is complete. */
+    readonly arrivedMillis: number | undefined;
+    readonly stage: RequestStage;
+}
+
+/** The HTTP server for callers and its open requests. */
 export interface CallerServer {
     readonly server: Server;
     readonly openRequests: () => number;
+    readonly describeOpenRequests: () => readonly OpenRequest[];
+}
+
+interface RequestProgress {
+    arrivedMillis: number | undefined;
+    running: RunningRequest | undefined;
+    isAnswering: boolean;
+}
+
+function requestStage({ arrivedMillis, running, isAnswering }: RequestProgress): RequestStage {
+    if (isAnswering) {
+        return "answering";
+    }
+    if (running !== undefined) {
+        return running.isQueued() ? "queued" : "sent";
+    }
+    return arrivedMillis === undefined ? "reading" : "held";
 }
 
 /** Limit on request bodies buffered by all requests together; requests beyond it are refused. */
@@ -52,7 +80,7 @@
 
 /** Creates the server for callers without listening. */
 export function makeCallerServer(parts: CallerServerParts): CallerServer {
-    let openRequests = 0;
+    const openRequests = new Map<IncomingMessage, RequestProgress>();
     let bufferedBytes = 0;
 
     const readBody = (
@@ -200,10 +228,15 @@
         }
     };
 
-    const handle = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const handle = async (
+        message: IncomingMessage,
+        response: ServerResponse,
+        progress: RequestProgress
+    ): Promise<void> => {
         const limits = parts.configuration()?.configuration.callerLimits;
         const body = await readBody(message, limits?.bodyBytes ?? maxBufferedBodyBytes);
         const arrivedMillis = monotonicMillis();
+        progress.arrivedMillis = arrivedMillis;
         if (body === "disconnected") {
             return;
         }
@@ -221,18 +254,21 @@
             ? "overloaded"
             : route(request, arrivedMillis);
         if (typeof routed === "string") {
+            progress.isAnswering = true;
             const retryAfterMillis = finalAnswers[routed].status === 503 ? earlyRefusalRetryMillis : undefined;
             sendFinalAnswer(response, request.id, routed, retryAfterMillis);
             logResult(request, undefined, { kind: "own", answer: routed, retryAfterMillis }, arrivedMillis);
             return;
         }
         const running = parts.run(routed);
+        progress.running = running;
         response.on("close", () => {
             if (!response.writableFinished) {
                 running.abandon();
             }
         });
         const result = await running.result;
+        progress.isAnswering = true;
         if (result.kind === "answered" && !response.destroyed) {
             sendAnswer(response, request.method, result.answer);
         }
@@ -243,10 +279,11 @@
     };
 
     const server = createServer({ keepAliveTimeout: initialIdleTimeoutMillis, noDelay: true }, (message, response) => {
-        openRequests += 1;
+        const progress: RequestProgress = { arrivedMillis: undefined, running: undefined, isAnswering: false };
+        openRequests.set(message, progress);
         response.sendDate = false;
-        response.once("close", () => openRequests -= 1);
-        handle(message, response).catch((error: unknown) => {
+        response.once("close", () => openRequests.delete(message));
+        handle(message, response, progress).catch((error: unknown) => {
             parts.log.error("fault", { error: String(error) }, "unexpected error while responding to a caller");
             response.destroy();
         });
@@ -260,7 +297,16 @@
             socket.destroy();
         }
     });
-    return { server, openRequests: () => openRequests };
+    return {
+        server,
+        openRequests: () => openRequests.size,
+        describeOpenRequests: () =>
+            [...openRequests].map(([message, progress]) => ({
+                id: requestIdOf(parts.dialect, message),
+                arrivedMillis: progress.arrivedMillis,
+                stage: requestStage(progress)
+            }))
+    };
 }
 
 /** Applies the configured header and idle timeouts to the server. */
--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -182,7 +182,7 @@
 
     const isReady = () => beliefs.isStateComplete() && stoppingSinceMillis === undefined;
 
-    const { server, openRequests } = makeCallerServer({
+    const { server, openRequests, describeOpenRequests } = makeCallerServer({
         dialect,
         configuration: beliefs.inForce,
         whenStateComplete: startupWait.whenStateComplete,
@@ -212,6 +212,17 @@
     });
     server.listen(settings.callerPort, settings.callerHost);
 
+    /** Logs the requests that end without an answer because the process exits. */
+    const reportCutRequests = (stoppingMillis: number) => {
+        for (const { id, arrivedMillis, stage } of describeOpenRequests()) {
+            metrics.cutRequests.inc({ stage });
+            const arrivedInStopMillis = arrivedMillis === undefined
+                ? undefined
+                : Math.round(arrivedMillis - stoppingMillis);
+            log.warn("cut request", { requestId: id, arrivedInStopMillis, stage }, "request still open at the exit");
+        }
+    };
+
     const ownInFlight = (): Record<string, number> => {
         const counts: Record<string, number> = {};
         for (const tracked of pool.all()) {
@@ -361,6 +372,7 @@
                         clearInterval(balanceTimer);
                         clearInterval(reportTimer);
                         log.info("stop", { openRequests: openRequests(), elapsedMillis }, "stopped");
+                        reportCutRequests(sinceMillis);
                         stopSnapshotRequests();
                         stopSnapshotServer();
                         peers.close();
--- a/packages/endivebridge-gateway/src/GatewayMetrics.ts
+++ b/packages/endivebridge-gateway/src/GatewayMetrics.ts
@@ -38,6 +38,12 @@
             labelNames: ["service", "outcome"],
             registers
         }),
+        cutRequests: new Counter({
+            name: "endivebridge_cut_requests_total",
+            help: "Requests still open when the instance ended its shutdown, by stage",
+            labelNames: ["stage"],
+            registers
+        }),
         storeCalls: new Counter({
             name: "endivebridge_store_calls_total",
             help: "Calls to the platform's store by call and outcome",
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -53,6 +53,8 @@
 /** A request being served. */
 export interface RunningRequest {
     readonly result: Promise<RequestResult>;
+    /** Whether the request waits for a slot, so that no send is in flight. */
+    readonly isQueued: () => boolean;
     /** Called when the caller disconnects: sends nothing more and cancels the sends in flight. */
     readonly abandon: () => void;
 }
@@ -312,5 +314,9 @@
         finishWithFinalAnswer("internal");
     });
 
-    return { result, abandon: () => finishRequest({ kind: "abandoned" }) };
+    return {
+        result,
+        isQueued: () => stopWaiting !== undefined,
+        abandon: () => finishRequest({ kind: "abandoned" })
+    };
 }
