A stop admits only requests whose deadline lies before its end

Callers saw connections closed without an answer around a shutdown, although a backend server was at work on the request. An instance admitted requests until 2 s before the forced end and exited 0.8 s before it, whatever was open: with a grace of 6 s, a request that arrived 3.9 s after the order to stop was cut at 5.3 s. A queued request was cut as well.

A stopping instance now refuses a request at once, as not run, if its deadline (its caller's or its route's, whichever is earlier) lies after the end of the stop. Every other request reaches its answer or its deadline before the process exits. Requests from before the stop with a later deadline are served for as long as the process runs; one that could not be answered by then is neither sent nor sent again, and gets 503 (502 if an earlier send may have run) in place of a closed connection. Requests that arrive while the process exits are refused too. The refusal asks the caller to retry almost at once, since other instances can serve the request.

--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -5,9 +5,9 @@
 import type { Dialect } from "./Dialect";
 import type { EventLog } from "./EventLog";
 import type { ServerAnswer } from "./Exchange";
-import { type FinalAnswerKind, finalAnswers } from "./FinalAnswers";
+import { type FinalAnswerKind, finalAnswers, leavingRetryMillis } from "./FinalAnswers";
 import type { GatewayMetrics } from "./GatewayMetrics";
-import type { RequestResult, RoutedRequest, RunningRequest } from "./RunRequest";
+import { effectivePatienceMillis, type RequestResult, type RoutedRequest, type RunningRequest } from "./RunRequest";
 
 /** The current configuration with its route lookup table. */
 export interface ConfigurationInForce {
@@ -27,8 +27,8 @@
     readonly run: (routed: RoutedRequest) => RunningRequest;
     /** Whether the instance is shutting down, so that callers should open their next connection elsewhere. */
     readonly isLeaving: () => boolean;
-    /** Whether a new request can no longer be finished before the process ends. */
-    readonly isRefusingRequests: () => boolean;
+    /** When the requests that are still open are cut; infinite unless the instance is shutting down. */
+    readonly stopEndMillis: () => number;
     readonly log: EventLog;
     readonly metrics: GatewayMetrics;
 }
@@ -73,7 +73,7 @@
 const idleTimeoutMarginMillis = 1_000;
 const initialIdleTimeoutMillis = 60_000;
 /**
- * Retry-After of every 503 that is decided before the request runs. The usual cause is a configuration that is not
+ * Retry-After of a 503 that is decided before the request runs, unless the instance is shutting down. The usual cause is a configuration that is not
  * loaded yet, and loading usually takes less than this.
  */
 const earlyRefusalRetryMillis = 300;
@@ -171,13 +171,13 @@
         if (inForce === undefined) {
             return "notReady";
         }
-        if (parts.isRefusingRequests()) {
-            return "leaving";
-        }
         const matched = inForce.routes.match(request.host, request.path);
         if (matched === undefined) {
             return "noRoute";
         }
+        if (arrivedMillis + effectivePatienceMillis(request, matched) > parts.stopEndMillis()) {
+            return "leaving";
+        }
         const service = inForce.configuration.services.get(parts.trafficSplit.choose(matched));
         return service === undefined
             ? "noServers"
@@ -255,7 +255,11 @@
             : route(request, arrivedMillis);
         if (typeof routed === "string") {
             progress.isAnswering = true;
-            const retryAfterMillis = finalAnswers[routed].status === 503 ? earlyRefusalRetryMillis : undefined;
+            const retryAfterMillis = routed === "leaving"
+                ? leavingRetryMillis
+                : finalAnswers[routed].status === 503
+                ? earlyRefusalRetryMillis
+                : undefined;
             sendFinalAnswer(response, request.id, routed, retryAfterMillis);
             logResult(request, undefined, { kind: "own", answer: routed, retryAfterMillis }, arrivedMillis);
             return;
--- a/packages/endivebridge-gateway/src/FinalAnswers.ts
+++ b/packages/endivebridge-gateway/src/FinalAnswers.ts
@@ -25,5 +25,8 @@
     internal: { status: 500, notRun: false, meaning: "a fault of the gateway itself" }
 } as const satisfies Record<string, FinalAnswer>;
 
+/** Retry-After of a request that a stopping instance refuses: another instance can serve it at once. */
+export const leavingRetryMillis = 10;
+
 /** Kind of a final answer that the gateway generates. */
 export type FinalAnswerKind = keyof typeof finalAnswers;
--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -85,8 +85,8 @@
 const slotBatchMillis = 4;
 /** Round trip to another region as stated for both deployments, 55 ms one way; not measured at run time. */
 const otherRegionRoundTripMillis = 110;
-/** New requests are refused for this long before the forced end, so that requests in flight can finish. */
-const refuseBeforeEndMillis = 2_000;
+/** An idle instance stays until this long before the forced end, as callers still connect after older look-ups. */
+const earliestExitBeforeEndMillis = 2_000;
 /** The gateway stops this long before the forced end of the process, even with requests still open. */
 const endMarginMillis = 800;
 const reportIntervalMillis = 5_000;
@@ -114,6 +114,7 @@
     const connections = new Map<string, ServerConnections>();
     const startedMillis = monotonicMillis();
     let stoppingSinceMillis: number | undefined;
+    let stopEndMillis = Infinity;
     let hasStoreSinceMillis: number | undefined;
     const tableVersions: Record<string, number> = {};
     const newerTableListeners = new Set<(table: string) => void>();
@@ -199,14 +200,13 @@
                 estimates,
                 poison,
                 members,
+                stopEndMillis: () => stopEndMillis,
                 connectionsOf: placed => connectionsTo(placed.tracked.server),
                 log,
                 metrics
             }, routed),
         isLeaving: () => stoppingSinceMillis !== undefined,
-        isRefusingRequests: () =>
-            stoppingSinceMillis !== undefined
-            && monotonicMillis() - stoppingSinceMillis > settings.stopTimeoutMillis - refuseBeforeEndMillis,
+        stopEndMillis: () => stopEndMillis,
         log,
         metrics
     });
@@ -354,6 +354,7 @@
         stop: () => {
             const sinceMillis = monotonicMillis();
             stoppingSinceMillis = sinceMillis;
+            stopEndMillis = sinceMillis + settings.stopTimeoutMillis - endMarginMillis;
             log.info(
                 "stop",
                 { openRequests: openRequests() },
@@ -362,21 +363,27 @@
             peers.announce();
             return new Promise(resolve => {
                 const timer = setInterval(() => {
-                    const elapsedMillis = monotonicMillis() - sinceMillis;
-                    const isLate = elapsedMillis > settings.stopTimeoutMillis - endMarginMillis;
+                    const nowMillis = monotonicMillis();
+                    const elapsedMillis = nowMillis - sinceMillis;
                     const isIdle = openRequests() === 0
-                        && elapsedMillis > settings.stopTimeoutMillis - refuseBeforeEndMillis;
-                    if (isLate || isIdle) {
+                        && elapsedMillis > settings.stopTimeoutMillis - earliestExitBeforeEndMillis;
+                    if (nowMillis > stopEndMillis || isIdle) {
+                        // Refuses the requests that arrive while the process exits.
+                        stopEndMillis = Math.min(stopEndMillis, nowMillis);
+                        // Refuses the requests that are still queued; their answers are written before the report.
+                        requestQueue.serveAll(nowMillis);
                         clearInterval(timer);
                         clearInterval(queueTimer);
                         clearInterval(balanceTimer);
                         clearInterval(reportTimer);
-                        log.info("stop", { openRequests: openRequests(), elapsedMillis }, "stopped");
-                        reportCutRequests(sinceMillis);
-                        stopSnapshotRequests();
-                        stopSnapshotServer();
-                        peers.close();
-                        resolve();
+                        setImmediate(() => {
+                            log.info("stop", { openRequests: openRequests(), elapsedMillis }, "stopped");
+                            reportCutRequests(sinceMillis);
+                            stopSnapshotRequests();
+                            stopSnapshotServer();
+                            peers.close();
+                            resolve();
+                        });
                     }
                 }, 50);
             });
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -17,7 +17,7 @@
 import type { Dialect } from "./Dialect";
 import type { EventLog } from "./EventLog";
 import { type ExchangeOutcome, isRefusingConnections, type ServerAnswer } from "./Exchange";
-import type { FinalAnswerKind } from "./FinalAnswers";
+import { type FinalAnswerKind, leavingRetryMillis } from "./FinalAnswers";
 import type { GatewayMetrics } from "./GatewayMetrics";
 import { makeRequestSends } from "./RequestSends";
 import type { ServerConnections } from "./ServerConnections";
@@ -71,6 +71,8 @@
     readonly estimates: ServiceTimeEstimates;
     readonly poison: QuarantineList;
     readonly members: Members;
+    /** When the requests that are still open are cut; infinite unless the instance is shutting down. */
+    readonly stopEndMillis: () => number;
     readonly connectionsOf: (placed: Placed) => ServerConnections;
     readonly log: EventLog;
     readonly metrics: GatewayMetrics;
@@ -89,7 +91,7 @@
 
 type PlacementResult =
     | { readonly kind: "placed"; readonly placed: Placed; }
-    | { readonly kind: "refused"; readonly reason: RefusalReason; readonly retryAfterMillis: number; }
+    | { readonly kind: "refused"; readonly answer: FinalAnswerKind; readonly retryAfterMillis: number; }
     | { readonly kind: "ended"; };
 
 const refusalAnswers: Record<RefusalReason, FinalAnswerKind> = {
@@ -98,11 +100,16 @@
     "waited too long": "overloaded"
 };
 
+/** Time from a request's arrival to its deadline, which is its caller's or its route's, whichever is earlier. */
+export function effectivePatienceMillis(request: CallerRequest, route: Route): number {
+    return Math.min(request.patienceMillis ?? Infinity, route.timeoutMillis);
+}
+
 /** Serves one request: waits for a free slot, sends, and retries where that is safe, until the answer is final. */
 export function runRequest(parts: RunRequestParts, routed: RoutedRequest): RunningRequest {
     const { request, route, service, arrivedMillis, sinceFirstAttemptMillis } = routed;
-    const patienceMillis = Math.min(request.patienceMillis ?? Infinity, route.timeoutMillis);
-    const deadlineMillis = arrivedMillis + patienceMillis - responseMarginMillis;
+    const deadlineMillis = arrivedMillis + effectivePatienceMillis(request, route) - responseMarginMillis;
+    const latestAnswerMillis = () => Math.min(deadlineMillis, parts.stopEndMillis());
     const keyHash = affinityHash(request, route);
     const triedServers = new Set<string>();
     let isFinished = false;
@@ -140,14 +147,23 @@
                 resolve(placementResult);
             };
             const expectedMillis = parts.estimates.estimateMillis(route, 0);
+            /** Whether the shutdown of this instance would end a send before its answer, and before the deadline. */
+            const isTooLateInStop = (nowMillis: number) =>
+                parts.stopEndMillis() < deadlineMillis && nowMillis >= parts.stopEndMillis() - expectedMillis;
             const waiter: Waiter = {
                 service: service.name,
                 priority: route.priority,
                 latestOnTimeSendMillis: arrivedMillis + route.objectiveMillis - sinceFirstAttemptMillis
                     - expectedMillis,
                 isRetryAfterRefusal: sinceFirstAttemptMillis > 0,
-                latestSendMillis: deadlineMillis - expectedMillis,
+                // A shutdown also shortens the wait of requests that are already queued.
+                get latestSendMillis() {
+                    return latestAnswerMillis() - expectedMillis;
+                },
                 tryPlace: nowMillis => {
+                    if (isTooLateInStop(nowMillis)) {
+                        return false;
+                    }
                     const waitedShare = (nowMillis - waitingSinceMillis) / route.objectiveMillis;
                     const chosen = parts.placement.choose(
                         {
@@ -173,7 +189,11 @@
                     return true;
                 },
                 refuse: (queueReason, retryAfterMillis) => {
-                    resolvePlacement({ kind: "refused", reason: reason ?? queueReason, retryAfterMillis });
+                    resolvePlacement(
+                        isTooLateInStop(monotonicMillis())
+                            ? { kind: "refused", answer: "leaving", retryAfterMillis: leavingRetryMillis }
+                            : { kind: "refused", answer: refusalAnswers[reason ?? queueReason], retryAfterMillis }
+                    );
                 }
             };
             stopWaiting = () => {
@@ -216,7 +236,7 @@
             return false;
         }
         const nowMillis = monotonicMillis();
-        if (deadlineMillis - nowMillis < parts.estimates.estimateMillis(route, 0) * 0.5) {
+        if (latestAnswerMillis() - nowMillis < parts.estimates.estimateMillis(route, 0) * 0.5) {
             return false;
         }
         const instances = parts.members.allRecords().length + 1;
@@ -237,7 +257,7 @@
             }
             if (placementResult.kind === "refused") {
                 finishWithFinalAnswer(
-                    mayHaveRun ? "answerLost" : refusalAnswers[placementResult.reason],
+                    mayHaveRun ? "answerLost" : placementResult.answer,
                     placementResult.retryAfterMillis
                 );
                 return;
--- a/packages/endivebridge-traffic/src/RequestQueue.ts
+++ b/packages/endivebridge-traffic/src/RequestQueue.ts
@@ -12,7 +12,7 @@
     readonly latestOnTimeSendMillis: number;
     /** Whether the caller was refused before and retried after the requested delay. */
     readonly isRetryAfterRefusal: boolean;
-    /** Latest time to send the request so that its answer still reaches the caller. */
+    /** Latest time to send the request so that its answer still reaches the caller; a shutdown may bring it forward. */
     readonly latestSendMillis: number;
     /** Tries to send the request to a backend server; true if it was sent. */
     readonly tryPlace: (nowMillis: number) => boolean;
