--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -9,13 +9,13 @@
     type ConnectionRequest,
     makeCallerConnection
 } from "./CallerConnection";
-import { type CallerRequest, endToEndHeaders, makeCallerRequest } from "./CallerRequest";
+import { type CallerRequest, endToEndHeaders, makeCallerRequest, requestIdOf } from "./CallerRequest";
 import type { Dialect } from "./Dialect";
 import type { EventLog } from "./EventLog";
 import type { ServerAnswer } from "./Exchange";
-import { type FinalAnswerKind, finalAnswers } from "./FinalAnswers";
+import { type FinalAnswerKind, finalAnswers, leavingRetryMillis } from "./FinalAnswers";
 import type { GatewayMetrics } from "./GatewayMetrics";
-import type { RequestResult, RoutedRequest, RunningRequest } from "./RunRequest";
+import { effectivePatienceMillis, type RequestResult, type RoutedRequest, type RunningRequest } from "./RunRequest";
 
 /** The current configuration with its route lookup table. */
 export interface ConfigurationInForce {
@@ -35,16 +35,44 @@
     readonly run: (routed: RoutedRequest) => RunningRequest;
     /** Whether the instance is shutting down, so that callers should open their next connection elsewhere. */
     readonly isLeaving: () => boolean;
-    /** Whether a new request can no longer be finished before the process ends. */
-    readonly isRefusingRequests: () => boolean;
+    /** When the requests that are still open are cut; infinite unless the instance is shutting down. */
+    readonly stopEndMillis: () => number;
     readonly log: EventLog;
     readonly metrics: GatewayMetrics;
 }
 
-/** The HTTP server for callers and its number of open requests. */
+/** How far an open request has got: body incomplete, held by a starting instance, queued, or sent to a server. */
+export type RequestStage = "reading" | "held" | "queued" | "sent" | "answering";
+
+/** A request whose response is not closed yet. */
+export interface OpenRequest {
+    readonly id: string | undefined;
+    /** Undefined until the body is complete. */
+    readonly arrivedMillis: number | undefined;
+    readonly stage: RequestStage;
+}
+
+/** The HTTP server for callers and its open requests. */
 export interface CallerServer {
     readonly server: Server;
     readonly openRequests: () => number;
+    readonly describeOpenRequests: () => readonly OpenRequest[];
+}
+
+interface RequestProgress {
+    arrivedMillis: number | undefined;
+    running: RunningRequest | undefined;
+    isAnswering: boolean;
+}
+
+function requestStage({ arrivedMillis, running, isAnswering }: RequestProgress): RequestStage {
+    if (isAnswering) {
+        return "answering";
+    }
+    if (running !== undefined) {
+        return running.isQueued() ? "queued" : "sent";
+    }
+    return arrivedMillis === undefined ? "reading" : "held";
 }
 
 /** Limit on request bodies buffered by all requests together; requests beyond it are refused. */
@@ -53,14 +81,14 @@
 const idleTimeoutMarginMillis = 1_000;
 const initialIdleTimeoutMillis = 60_000;
 /**
- * Retry-After of every 503 that is decided before the request runs. The usual cause is a configuration that is not
+ * Retry-After of a 503 that is decided before the request runs, unless the instance is shutting down. The usual cause is a configuration that is not
  * loaded yet, and loading usually takes less than this.
  */
 const earlyRefusalRetryMillis = 300;
 
 /** Creates the server for callers without listening. */
 export function makeCallerServer(parts: CallerServerParts): CallerServer {
-    let openRequests = 0;
+    const openRequests = new Map<IncomingMessage, RequestProgress>();
     let bufferedBytes = 0;
     const connections = new WeakMap<Duplex, CallerConnection>();
 
@@ -193,13 +221,13 @@
         if (inForce === undefined) {
             return "notReady";
         }
-        if (parts.isRefusingRequests()) {
-            return "leaving";
-        }
         const matched = inForce.routes.match(request.host, request.path);
         if (matched === undefined) {
             return "noRoute";
         }
+        if (arrivedMillis + effectivePatienceMillis(request, matched) > parts.stopEndMillis()) {
+            return "leaving";
+        }
         const service = inForce.configuration.services.get(parts.trafficSplit.choose(matched));
         return service === undefined
             ? "noServers"
@@ -256,11 +284,13 @@
         connection: CallerConnection,
         connectionRequest: ConnectionRequest,
         message: IncomingMessage,
-        response: ServerResponse
+        response: ServerResponse,
+        progress: RequestProgress
     ): Promise<void> => {
         const limits = parts.configuration()?.configuration.callerLimits;
         const body = await readBody(message, limits?.bodyBytes ?? maxBufferedBodyBytes);
         const arrivedMillis = monotonicMillis();
+        progress.arrivedMillis = arrivedMillis;
         if (body === "disconnected") {
             return;
         }
@@ -279,7 +309,12 @@
             ? "overloaded"
             : route(request, arrivedMillis);
         if (typeof routed === "string") {
-            const retryAfterMillis = finalAnswers[routed].status === 503 ? earlyRefusalRetryMillis : undefined;
+            progress.isAnswering = true;
+            const retryAfterMillis = routed === "leaving"
+                ? leavingRetryMillis
+                : finalAnswers[routed].status === 503
+                ? earlyRefusalRetryMillis
+                : undefined;
             if (await connectionRequest.whenNextToAnswer()) {
                 sendFinalAnswer(connectionRequest, response, request.id, routed, retryAfterMillis);
                 logResult(request, undefined, { kind: "own", answer: routed, retryAfterMillis }, arrivedMillis);
@@ -287,9 +322,11 @@
             return;
         }
         const running = parts.run(routed);
+        progress.running = running;
         connectionRequest.setPassedOn();
         connectionRequest.setCloseListener(running.abandon);
         const result = await running.result;
+        progress.isAnswering = true;
         const isWritable = await connectionRequest.whenNextToAnswer();
         if (isWritable && result.kind === "answered") {
             sendAnswer(connection, connectionRequest, response, request.method, result.answer);
@@ -301,11 +338,12 @@
     };
 
     const server = createServer({ keepAliveTimeout: initialIdleTimeoutMillis, noDelay: true }, (message, response) => {
-        openRequests += 1;
+        const progress: RequestProgress = { arrivedMillis: undefined, running: undefined, isAnswering: false };
+        openRequests.set(message, progress);
         response.sendDate = false;
         const connection = connectionOf(message.socket);
-        const connectionRequest = connection.addRequest(response, () => openRequests -= 1);
-        handle(connection, connectionRequest, message, response).catch((error: unknown) => {
+        const connectionRequest = connection.addRequest(response, () => openRequests.delete(message));
+        handle(connection, connectionRequest, message, response, progress).catch((error: unknown) => {
             parts.log.error("fault", { error: String(error) }, "unexpected error while responding to a caller");
             connection.recordClosing("fault");
             response.destroy();
@@ -333,7 +371,16 @@
             connection.afterReadRequests(close);
         }
     });
-    return { server, openRequests: () => openRequests };
+    return {
+        server,
+        openRequests: () => openRequests.size,
+        describeOpenRequests: () =>
+            [...openRequests].map(([message, progress]) => ({
+                id: requestIdOf(parts.dialect, message),
+                arrivedMillis: progress.arrivedMillis,
+                stage: requestStage(progress)
+            }))
+    };
 }
 
 /** Applies the configured header and idle timeouts to the server. */
