Keep idle connections of callers open as long as they were told

A configuration may change the idle timeout. Connections that were idle at that moment kept the timer of the previous limit, so that after a raised limit they closed while callers still used them; and after a lowered limit a connection whose request was in flight closed sooner than the Keep-Alive header of its answer declared, since Node.js writes the header with the timeout at the request's arrival and sets the timer with the one at the answer's end.

A request that crosses the close ends without an answer. If the event loop is blocked while both fall due, the timer runs before the request is read: in a run with a block of 0.8 s the connection was reset 617 ms after the request was sent, the request unread. Applying a large configuration blocks the event loop at just that moment.

--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -1,6 +1,7 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import type { AttemptAgeEstimator, RouteTable, TrafficConfiguration, TrafficSplit } from "@endivebridge/traffic";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { type CallerRequest, endToEndHeaders, makeCallerRequest } from "./CallerRequest";
 import type { Dialect } from "./Dialect";
 import type { EventLog } from "./EventLog";
@@ -33,9 +34,10 @@
     readonly metrics: GatewayMetrics;
 }
 
-/** The HTTP server for callers and its number of open requests. */
+/** The HTTP server for callers, its open connections and its number of open requests. */
 export interface CallerServer {
     readonly server: Server;
+    readonly openConnections: ReadonlySet<Socket>;
     readonly openRequests: () => number;
 }
 
@@ -245,12 +247,20 @@
     const server = createServer({ keepAliveTimeout: initialIdleTimeoutMillis, noDelay: true }, (message, response) => {
         openRequests += 1;
         response.sendDate = false;
+        // The Keep-Alive header of the answer declares the timeout of now, which may be lowered until then.
+        const declaredIdleTimeoutMillis = server.keepAliveTimeout;
+        response.once("finish", () => extendIdleTimeout(message.socket, declaredIdleTimeoutMillis));
         response.once("close", () => openRequests -= 1);
         handle(message, response).catch((error: unknown) => {
             parts.log.error("fault", { error: String(error) }, "unexpected error while responding to a caller");
             response.destroy();
         });
     });
+    const openConnections = new Set<Socket>();
+    server.on("connection", socket => {
+        openConnections.add(socket);
+        socket.once("close", () => openConnections.delete(socket));
+    });
     server.on("clientError", (error, socket) => {
         parts.log.info("bad request", { error: error.message }, "caller connection closed after a protocol error");
         if (socket.writable) {
@@ -260,12 +270,30 @@
             socket.destroy();
         }
     });
-    return { server, openRequests: () => openRequests };
+    return { server, openConnections, openRequests: () => openRequests };
+}
+
+/** Keeps a connection that is idle open for at least the given time from now. */
+function extendIdleTimeout(socket: Socket, idleTimeoutMillis: number): void {
+    // While a request is open, the connection has no timeout.
+    if (socket.timeout !== undefined && socket.timeout > 0 && socket.timeout < idleTimeoutMillis) {
+        socket.setTimeout(idleTimeoutMillis);
+    }
 }
 
-/** Applies the configured header and idle timeouts to the server. */
-export function applyCallerLimits(server: Server, { callerLimits }: TrafficConfiguration): void {
-    server.keepAliveTimeout = callerLimits.idleTimeoutMillis + idleTimeoutMarginMillis;
+/**
+ * Applies the configured header and idle timeouts to the server. A longer idle timeout holds for idle connections too, since
+ * callers may use them by the new limit; a shorter one does not, since the last answer declared the previous limit.
+ */
+export function applyCallerLimits(
+    { server, openConnections }: Pick<CallerServer, "server" | "openConnections">,
+    { callerLimits }: TrafficConfiguration
+): void {
+    const idleTimeoutMillis = callerLimits.idleTimeoutMillis + idleTimeoutMarginMillis;
+    server.keepAliveTimeout = idleTimeoutMillis;
+    for (const socket of openConnections) {
+        extendIdleTimeout(socket, idleTimeoutMillis);
+    }
     server.headersTimeout = callerLimits.headerTimeoutMillis;
     server.requestTimeout = 0;
 }
--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -121,7 +121,7 @@
     const beliefs = makeKnownState({
         pool,
         onConfiguration: configuration => {
-            applyCallerLimits(server, configuration);
+            applyCallerLimits(callerServer, configuration);
             metrics.configurationVersion.set(configuration.version);
             startupWait.releaseIfComplete();
         },
@@ -182,7 +182,7 @@
 
     const isReady = () => beliefs.isStateComplete() && stoppingSinceMillis === undefined;
 
-    const { server, openRequests } = makeCallerServer({
+    const callerServer = makeCallerServer({
         dialect,
         configuration: beliefs.inForce,
         whenStateComplete: startupWait.whenStateComplete,
@@ -210,6 +210,7 @@
         log,
         metrics
     });
+    const { server, openRequests } = callerServer;
     server.listen(settings.callerPort, settings.callerHost);
 
     const ownInFlight = (): Record<string, number> => {
