--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -52,9 +52,10 @@
     readonly stage: RequestStage;
 }
 
-/** The HTTP server for callers and its open requests. */
+/** The HTTP server for callers, its open connections and its open requests. */
 export interface CallerServer {
     readonly server: Server;
+    readonly openConnections: ReadonlySet<Socket>;
     readonly openRequests: () => number;
     readonly describeOpenRequests: () => readonly OpenRequest[];
 }
@@ -341,6 +342,9 @@
         const progress: RequestProgress = { arrivedMillis: undefined, running: undefined, isAnswering: false };
         openRequests.set(message, progress);
         response.sendDate = false;
+        // The Keep-Alive header of the answer declares the timeout of now, which may be lowered until then.
+        const declaredIdleTimeoutMillis = server.keepAliveTimeout;
+        response.once("finish", () => extendIdleTimeout(message.socket, declaredIdleTimeoutMillis));
         const connection = connectionOf(message.socket);
         const connectionRequest = connection.addRequest(response, () => openRequests.delete(message));
         handle(connection, connectionRequest, message, response, progress).catch((error: unknown) => {
@@ -349,6 +353,11 @@
             response.destroy();
         });
     });
+    const openConnections = new Set<Socket>();
+    server.on("connection", socket => {
+        openConnections.add(socket);
+        socket.once("close", () => openConnections.delete(socket));
+    });
     server.on("clientError", (error, socket) => {
         const connection = connections.get(socket);
         const close = () => {
@@ -373,6 +382,7 @@
     });
     return {
         server,
+        openConnections,
         openRequests: () => openRequests.size,
         describeOpenRequests: () =>
             [...openRequests].map(([message, progress]) => ({
@@ -383,9 +393,27 @@
     };
 }
 
-/** Applies the configured header and idle timeouts to the server. */
-export function applyCallerLimits(server: Server, { callerLimits }: TrafficConfiguration): void {
-    server.keepAliveTimeout = callerLimits.idleTimeoutMillis + idleTimeoutMarginMillis;
+/** Keeps a connection that is idle open for at least the given time from now. */
+function extendIdleTimeout(socket: Socket, idleTimeoutMillis: number): void {
+    // While a request is open, the connection has no timeout.
+    if (socket.timeout !== undefined && socket.timeout > 0 && socket.timeout < idleTimeoutMillis) {
+        socket.setTimeout(idleTimeoutMillis);
+    }
+}
+
+/**
+ * Applies the configured header and idle timeouts to the server. A longer idle timeout holds for idle connections too, since
+ * callers may use them by the new limit; a shorter one does not, since the last answer declared the previous limit.
+ */
+export function applyCallerLimits(
+    { server, openConnections }: Pick<CallerServer, "server" | "openConnections">,
+    { callerLimits }: TrafficConfiguration
+): void {
+    const idleTimeoutMillis = callerLimits.idleTimeoutMillis + idleTimeoutMarginMillis;
+    server.keepAliveTimeout = idleTimeoutMillis;
+    for (const socket of openConnections) {
+        extendIdleTimeout(socket, idleTimeoutMillis);
+    }
     server.headersTimeout = callerLimits.headerTimeoutMillis;
     server.requestTimeout = 0;
 }
--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -122,7 +122,7 @@
     const beliefs = makeKnownState({
         pool,
         onConfiguration: configuration => {
-            applyCallerLimits(server, configuration);
+            applyCallerLimits(callerServer, configuration);
             metrics.configurationVersion.set(configuration.version);
             startupWait.releaseIfComplete();
         },
@@ -183,7 +183,7 @@
 
     const isReady = () => beliefs.isStateComplete() && stoppingSinceMillis === undefined;
 
-    const { server, openRequests, describeOpenRequests } = makeCallerServer({
+    const callerServer = makeCallerServer({
         dialect,
         configuration: beliefs.inForce,
         whenStateComplete: startupWait.whenStateComplete,
@@ -210,6 +210,7 @@
         log,
         metrics
     });
+    const { server, openRequests, describeOpenRequests } = callerServer;
     server.listen(settings.callerPort, settings.callerHost);
 
     /** Logs the requests that end without an answer because the process exits. */
