Tests of backend servers that send bytes without end, at both front doors

A stand-in sends endless bytes in a head, in a body or after a complete answer. Each case checks the caller's answer, its time, the close of the server's connection and the growth of resident memory (64 MiB, while the stand-in may send 256 MiB).

--- a/packages/endivebridge-standins/src/PlatformStandIn.ts
+++ b/packages/endivebridge-standins/src/PlatformStandIn.ts
@@ -1,4 +1,5 @@
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
+import type { Server } from "node:net";
 
 /** Faults that the stand-in injects; all fields can be changed while it runs. */
 export interface PlatformFaults {
--- a/packages/endivebridge-standins/src/index.ts
+++ b/packages/endivebridge-standins/src/index.ts
@@ -9,6 +9,17 @@
     startBackendStandIn,
     tokenHeader
 } from "./BackendStandIn";
+export {
+    endlessBodies,
+    endlessBytesAfter,
+    type EndlessConnection,
+    endlessNonAnswers,
+    type EndlessOptions,
+    type EndlessResponse,
+    type EndlessStandIn,
+    maxEndlessBytes,
+    startEndlessStandIn
+} from "./EndlessStandIn";
 export { type Link, type LinkDirection, type LinkOptions, makeSharedRate, openLink, type SharedRate } from "./Link";
 export {
     getListeningPort,
