Gateway: end a send at once when a server's bytes become no answer

Callers got 504 at their deadline, or the server's connection stayed open: Node.js limits neither line breaks before a status line, nor 1xx responses, nor whitespace around header and trailer values; an unrequested 101 closed the connection without an event that ended the send; and an unsealed or rejected answer beyond 256 KiB was left paused. Bytes without progress are now limited to 128 KiB, and such sends end when it is known.

--- a/packages/endivebridge-gateway/src/Exchange.ts
+++ b/packages/endivebridge-gateway/src/Exchange.ts
@@ -1,4 +1,4 @@
-import { monotonicMillis } from "@endivebridge/shared";
+import { limitBytesWithoutProgress, monotonicMillis } from "@endivebridge/shared";
 import { type IncomingMessage, request as openRequest } from "node:http";
 import { connect } from "node:net";
 import type { Dialect } from "./Dialect";
@@ -78,6 +78,7 @@
         if (!isSettled) {
             isSettled = true;
             clearTimeout(connectTimer);
+            progressLimit.stop();
             settle(result);
         }
     };
@@ -87,6 +88,8 @@
     };
     const connectTimer = setTimeout(() => fail("connection timed out", false), call.connectTimeoutMillis);
 
+    const progressLimit = limitBytesWithoutProgress(request, () => fail("bytes that are no response", false));
+
     request.on("socket", socket => {
         const onConnected = () => {
             clearTimeout(connectTimer);
@@ -105,8 +108,15 @@
             fail(error.message, error.code === "ECONNRESET" || error.code === "EPIPE");
         }
     });
+    request.on("close", () => {
+        // An unrequested switch of protocols closes the connection without an error.
+        if (response === undefined) {
+            fail("connection closed without a response", false);
+        }
+    });
     request.on("response", incoming => {
         response = incoming;
+        progressLimit.recordProgress();
         const { headers } = incoming;
         const status = incoming.statusCode ?? 0;
         const answeredId = headers[dialect.requestIdHeader];
@@ -130,9 +140,20 @@
             hasDeclaredLength: headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined
         });
         const onData = (chunk: Buffer) => {
+            progressLimit.recordProgress();
             chunks.push(chunk);
             length += chunk.length;
             if (length > heldAnswerBytes) {
+                if (isNotExecuted) {
+                    // The head alone tells that the request did not run; the body is not returned to the caller.
+                    finish({ kind: "answered", answer: answer(undefined) });
+                    request.destroy();
+                    return;
+                }
+                if (headers[dialect.signatureHeader] === undefined) {
+                    fail("answer without a signature exceeds the buffer limit", false);
+                    return;
+                }
                 incoming.pause();
                 incoming.off("data", onData);
                 finish({ kind: "answered", answer: answer(incoming) });
