Gateway: end a streamed answer at its deadline and when the caller leaves

An answer beyond 256 KiB was streamed with its deadline timer cleared, so an endless body went on, and a caller that left kept the server's connection open, paused. The deadline now closes that connection, and a pipeline closes each connection with the other; the answer never looks complete.

--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -1,6 +1,7 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import type { AttemptAgeEstimator, RouteTable, TrafficConfiguration, TrafficSplit } from "@endivebridge/traffic";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { pipeline } from "node:stream";
 import { type CallerRequest, endToEndHeaders, makeCallerRequest } from "./CallerRequest";
 import type { Dialect } from "./Dialect";
 import type { EventLog } from "./EventLog";
@@ -115,13 +116,8 @@
                 declared === undefined ? flat : [...flat, "Content-Length", declared]
             );
             response.write(answer.body);
-            answer.unreadBody.on("error", () => response.destroy());
-            answer.unreadBody.on("close", () => {
-                if (answer.unreadBody?.complete !== true) {
-                    response.destroy();
-                }
-            });
-            answer.unreadBody.pipe(response);
+            // Closes both connections if either ends early.
+            pipeline(answer.unreadBody, response, () => undefined);
             return;
         }
         const hasBody = answer.status !== 204 && answer.status !== 304;
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -221,6 +221,14 @@
         return !mayHaveReachedServer || parts.retryBudget.trySpend(service.name, instances, nowMillis);
     };
 
+    /** Closes the server's connection at the deadline if the body that is streamed to the caller has not ended. */
+    const endBodyAtDeadline = (unreadBody: ServerAnswer["unreadBody"]) => {
+        if (unreadBody !== undefined) {
+            const timer = setTimeout(() => unreadBody.destroy(), Math.max(0, deadlineMillis - monotonicMillis()));
+            unreadBody.once("close", () => clearTimeout(timer));
+        }
+    };
+
     const serve = async (): Promise<void> => {
         if (isQuarantined()) {
             finishWithFinalAnswer("quarantined");
@@ -265,6 +273,7 @@
                     sends.logRepeatedSend("resend", placed, `status ${outcome.answer.status}`, tookMillis);
                     continue;
                 }
+                endBodyAtDeadline(outcome.answer.unreadBody);
                 const { rank, isRemote, expectedMillis } = placed;
                 finishRequest({
                     kind: "answered",
