Daemon: limit bytes without progress, and end streamed answers at the deadline

Reads were held to their deadline by line breaks, 1xx responses, whitespace or a 101, an endless rejection was passed on as an answer, an endless body outlived its deadline, and an error after a complete answer lost it. In the tests of streamed bodies every send is endless now, since a hedge answered one in full.

--- a/packages/endivebridge-bench/src/__tests__/integration/EndlessBytes.test.ts
+++ b/packages/endivebridge-bench/src/__tests__/integration/EndlessBytes.test.ts
@@ -41,6 +41,8 @@
 let testbed: Testbed;
 let standIns: readonly EndlessStandIn[];
 let nextResponse: EndlessResponse | undefined;
+/** Whether hedged and repeated sends get the endless response too. */
+let isResponseRepeated = false;
 
 const okHead = "HTTP/1.1 200 OK\r\nX-Server: stand-in\r\n";
 const answer = `${okHead}Content-Length: 6\r\n\r\nanswer`;
@@ -57,7 +59,7 @@
                     return `HTTP/1.1 200 OK\r\nContent-Length: ${load.length}\r\n\r\n${load}`;
                 }
                 const response = nextResponse ?? answer;
-                nextResponse = undefined;
+                nextResponse = isResponseRepeated ? nextResponse : undefined;
                 return response;
             }
         })
@@ -102,6 +104,7 @@
 }
 
 interface CallerBehaviour {
+    readonly isRepeated?: boolean;
     /** Key of a write; a call without one is a read. */
     readonly key?: string;
     readonly onResponse?: (response: IncomingMessage) => void;
@@ -110,9 +113,10 @@
 /** Sends a request whose first response is `response`, and keeps only the first bytes of the answer. */
 function callOnce(
     response: EndlessResponse | undefined,
-    { key, onResponse = () => undefined }: CallerBehaviour = {}
+    { key, isRepeated = false, onResponse = () => undefined }: CallerBehaviour = {}
 ): Promise<Received> {
     nextResponse = response;
+    isResponseRepeated = isRepeated;
     const startedMillis = performance.now();
     const [host, port] = testbed.instances[0]!.callerAddress.split(":");
     return new Promise(resolve => {
@@ -197,7 +201,7 @@
 
 for (const [name, response] of Object.entries(endlessBodies(okHead))) {
     test.serial(`breaks off a read's answer at the deadline when a server sends ${name} without end`, async t => {
-        const received = await checkBounded(t, () => callOnce(response));
+        const received = await checkBounded(t, () => callOnce(response, { isRepeated: true }));
         t.like(received, { status: 200, isComplete: false });
         t.true(received.tookMillis < deadlineMillis + deadlineSlackMillis);
     });
@@ -212,6 +216,7 @@
 test.serial("bounds the bytes read for a caller that does not read an endless answer", async t => {
     const received = await checkBounded(t, () =>
         callOnce(endlessBodies(okHead)["a chunked body"], {
+            isRepeated: true,
             onResponse: incoming => {
                 incoming.pause();
                 setTimeout(() => incoming.destroy(), deadlineMillis + deadlineSlackMillis);
@@ -224,6 +229,7 @@
 test.serial("closes the connection to the server when the caller leaves in the middle of an endless answer", async t => {
     const received = await checkBounded(t, () =>
         callOnce(endlessBodies(okHead)["a chunked body"], {
+            isRepeated: true,
             onResponse: incoming => setTimeout(() => incoming.destroy(), 100)
         }));
     t.true(received.tookMillis < promptMillis);
--- a/packages/endivebridge-daemon/src/DispatchRequest.ts
+++ b/packages/endivebridge-daemon/src/DispatchRequest.ts
@@ -1,5 +1,5 @@
 import { type ErrorKind, type HeldSlot, recordLatency } from "@endivebridge/core";
-import { monotonicMillis } from "@endivebridge/shared";
+import { limitBytesWithoutProgress, monotonicMillis } from "@endivebridge/shared";
 import { Result } from "effect";
 import { type IncomingMessage, request as openRequest } from "node:http";
 import type { BackendConnections } from "./BackendConnections";
@@ -119,6 +119,7 @@
     let isConnected = false;
     let isEnded = false;
     let hasResponse = false;
+    let isComplete = () => false;
     let isStreaming = false;
     let late = false;
     const lateTimer = setTimeout(() => {
@@ -144,6 +145,7 @@
         clearTimeout(deadlineTimer);
         clearTimeout(lateTimer);
         clearInterval(silenceTimer);
+        progressLimit.stop();
     };
     const abandonIfSilent = () => {
         if (!isEnded && !hasResponse && options.canAbandon()) {
@@ -181,6 +183,8 @@
             isConnected ? "maybe" : "no"
         );
 
+    const progressLimit = limitBytesWithoutProgress(outgoing, lost);
+
     const completeDispatch = () => {
         isEnded = true;
         stopTimers();
@@ -198,9 +202,22 @@
             isConnected = true;
         }
     });
-    outgoing.on("error", lost);
+    outgoing.on("error", () => {
+        // Invalid bytes that follow a complete response do not invalidate it.
+        if (!isComplete()) {
+            lost();
+        }
+    });
+    outgoing.on("close", () => {
+        // An unrequested switch of protocols closes the connection without an error.
+        if (!hasResponse) {
+            lost();
+        }
+    });
     outgoing.on("response", response => {
         hasResponse = true;
+        isComplete = () => response.complete;
+        progressLimit.recordProgress();
         clearInterval(silenceTimer);
         const head = parseAnswerHead(response);
         if (!isFramed(request, response.statusCode ?? 0, head)) {
@@ -220,11 +237,16 @@
             server
         });
         const onData = (chunk: Buffer) => {
+            progressLimit.recordProgress();
             length += chunk.length;
             chunks.push(chunk);
             if (length <= maxBufferedBytes || isEnded) {
                 return;
             }
+            if (head.notRun) {
+                fail("refused", "overloaded", "no", head.retryAfterSeconds * 1_000);
+                return;
+            }
             if (!request.idempotent) {
                 fail("tooLarge", "answerNotKept", "maybe");
                 return;
@@ -232,6 +254,11 @@
             isEnded = true;
             isStreaming = true;
             stopTimers();
+            const bodyTimer = setTimeout(
+                () => response.destroy(),
+                Math.max(0, request.deadlineAtMillis - monotonicMillis())
+            );
+            response.once("close", () => clearTimeout(bodyTimer));
             response.off("data", onData);
             response.pause();
             onResult(Result.succeed(answer(response)));
