--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -2,7 +2,7 @@
 import type { AttemptAgeEstimator, RouteTable, TrafficConfiguration, TrafficSplit } from "@endivebridge/traffic";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import type { Duplex } from "node:stream";
+import { type Duplex, pipeline } from "node:stream";
 import {
     type CallerConnection,
     type ConnectionCloser,
@@ -182,17 +182,14 @@
                 declared === undefined ? flat : [...flat, "Content-Length", declared]
             );
             response.write(answer.body);
-            const closeTruncated = () => {
-                connection.recordClosing("truncatedAnswer");
-                response.destroy();
-            };
-            answer.unreadBody.on("error", closeTruncated);
-            answer.unreadBody.on("close", () => {
-                if (answer.unreadBody?.complete !== true) {
-                    closeTruncated();
+            const { unreadBody } = answer;
+            unreadBody.once("close", () => {
+                if (!unreadBody.complete && connection.closedBy() === undefined) {
+                    connection.recordClosing("truncatedAnswer");
                 }
             });
-            answer.unreadBody.pipe(response);
+            // Closes both connections if either ends early.
+            pipeline(unreadBody, response, () => undefined);
             return;
         }
         const hasBody = answer.status !== 204 && answer.status !== 304;
