Gateway: keep reading after a closing answer until the caller closes too

Bytes that arrived behind an answer with `Connection: close` destroyed the part of it that was still on its way: the connection was closed at once, so the kernel answered them with a reset and discarded its send buffer. The test "bytes that arrive behind a closing answer do not destroy the answer on its way" failed before: 195,369 of 1,000,003 bytes arrived. The sending side is now ended first, and the connection closes when the caller has closed its side, or after a second.

--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -58,6 +58,18 @@
  */
 const earlyRefusalRetryMillis = 300;
 
+/** Time for which bytes that arrive after the last answer are read and discarded. */
+const lingerMillis = 1_000;
+
+/**
+ * Ends the sending side of a connection and closes it once the caller has done so too, or after a time limit. Closing at
+ * once would reset the connection if unread bytes are left or arrive, which destroys answers that are still on their way.
+ */
+function closeWithLinger(socket: Duplex, lastBytes?: string): void {
+    socket.end(lastBytes);
+    setTimeout(() => socket.destroy(), lingerMillis).unref();
+}
+
 /** Creates the server for callers without listening. */
 export function makeCallerServer(parts: CallerServerParts): CallerServer {
     let openRequests = 0;
@@ -74,6 +86,8 @@
             closedBy => parts.metrics.unansweredRequests.inc({ closedBy })
         );
         connections.set(socket, connection);
+        // Node calls this after an answer that closes the connection.
+        socket.destroySoon = () => closeWithLinger(socket);
         return connection;
     };
 
@@ -314,13 +328,17 @@
     server.on("clientError", (error, socket) => {
         const connection = connections.get(socket);
         const close = () => {
-            if (connection?.isClosing() === true) {
+            if (connection?.isClosing() === true || (socket.writableEnded && !socket.destroyed)) {
+                // Bytes that arrive while the connection lingers.
                 return;
             }
             parts.log.info("bad request", { error: error.message }, "caller connection closed after a protocol error");
             connection?.recordClosing("protocolError");
             if (socket.writable) {
-                socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+                closeWithLinger(
+                    socket,
+                    "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+                );
             }
             else {
                 socket.destroy();
