Gateway: end what a pipelined connection holds after a broken answer, and bound it

A large answer whose backend server broke it in the read that crossed the buffer limit, or while it waited for its turn, was streamed from a destroyed source: the caller's connection stayed open past its deadline and held the requests behind it. Such an answer is now reported as lost (502), as its head was not sent. Seen before: open after 1.5 s without an answer. A connection now has at most 32 requests in service. Whether requests are passed on behind an answer is counted instead of searched. A caller's reset is no longer recorded as a protocol error, and no 400 is written into an answer that has been started.

--- a/packages/endivebridge-gateway/src/CallerConnection.ts
+++ b/packages/endivebridge-gateway/src/CallerConnection.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 
-/** What closed a caller's connection: the caller, or this instance for the given reason. */
+/** What closed a caller's connection: the caller, or this instance for the given reason; `fault` is an internal error. */
 export type ConnectionCloser = "caller" | "closingAnswer" | "truncatedAnswer" | "protocolError" | "fault";
 
 /** One connection of a caller, with its requests whose answers are not written yet. */
@@ -14,13 +14,20 @@
     readonly isClosing: () => boolean;
     /** Calls the listener once no request that was read completely is unanswered; at once if there is none. */
     readonly afterReadRequests: (listener: () => void) => void;
+    /** Whether an answer has been written in part. */
+    readonly isWritingAnswer: () => boolean;
     /** What closed the connection; undefined while it is open. */
     readonly closedBy: () => ConnectionCloser | undefined;
 }
 
 /** A request of a connection until its answer is written. */
 export interface ConnectionRequest {
-    /** Records that the request was passed on, so that answers ahead of it keep the connection open. */
+    /**
+     * Resolves once few requests ahead are unanswered, or with false if the connection has closed; undefined if that is
+     * so already. Bounds the answers that a connection holds for a slow one ahead.
+     */
+    readonly whenFewAhead: () => Promise<boolean> | undefined;
+    /** Records that the request is being served, so that answers ahead of it keep the connection open. */
     readonly setPassedOn: () => void;
     /** Resolves once the answers ahead are written, or with false if the connection has closed or is closing. */
     readonly whenNextToAnswer: () => Promise<boolean>;
@@ -32,12 +39,17 @@
     readonly setCloseListener: (listener: () => void) => void;
 }
 
+/** Pipelined requests of one connection that are served at a time. */
+const maxServedRequests = 32;
+
 interface UnansweredRequest {
+    readonly number: number;
     readonly response: ServerResponse;
     readonly onEnd: () => void;
     isPassedOn: boolean;
     onClose: () => void;
     onNextToAnswer: (isWritable: boolean) => void;
+    onFewAhead: (isOpen: boolean) => void;
 }
 
 /** Tracks a connection; `onUnanswered` is called for each passed-on request that is unanswered when it closes. */
@@ -48,10 +60,22 @@
     const unanswered = new Set<UnansweredRequest>();
     let isClosing = false;
     let closer: ConnectionCloser = "caller";
+    let requestCount = 0;
+    let answeredCount = 0;
+    let passedOnCount = 0;
+    let waitingForFewAhead: UnansweredRequest[] = [];
     let onReadRequestsAnswered: (() => void) | undefined;
+    const hasFewAhead = ({ number }: UnansweredRequest) => number - answeredCount <= maxServedRequests;
+    const notifyIfFewAhead = () => {
+        const ready = waitingForFewAhead.filter(hasFewAhead);
+        if (ready.length > 0) {
+            waitingForFewAhead = waitingForFewAhead.slice(ready.length);
+            ready.forEach(request => request.onFewAhead(true));
+        }
+    };
     const notifyIfReadRequestsAnswered = () => {
-        if (![...unanswered].some(({ response }) => response.req.complete)) {
-            onReadRequestsAnswered?.();
+        if (onReadRequestsAnswered !== undefined && ![...unanswered].some(({ response }) => response.req.complete)) {
+            onReadRequestsAnswered();
             onReadRequestsAnswered = undefined;
         }
     };
@@ -69,29 +93,46 @@
             }
             request.onClose();
             request.onNextToAnswer(false);
+            request.onFewAhead(false);
             request.onEnd();
         }
     });
     return {
         addRequest: (response, onEnd) => {
+            requestCount += 1;
             const request: UnansweredRequest = {
+                number: requestCount,
                 response,
                 onEnd,
                 isPassedOn: false,
                 onClose: () => undefined,
-                onNextToAnswer: () => undefined
+                onNextToAnswer: () => undefined,
+                onFewAhead: () => undefined
             };
             unanswered.add(request);
             response.once("finish", () => {
                 if (unanswered.delete(request)) {
+                    answeredCount += 1;
+                    passedOnCount -= request.isPassedOn ? 1 : 0;
                     onEnd();
                     const [next] = unanswered;
                     next?.onNextToAnswer(!isClosing);
+                    notifyIfFewAhead();
                     notifyIfReadRequestsAnswered();
                 }
             });
             return {
-                setPassedOn: () => request.isPassedOn = true,
+                whenFewAhead: () =>
+                    hasFewAhead(request)
+                        ? undefined
+                        : new Promise(resolve => {
+                            request.onFewAhead = resolve;
+                            waitingForFewAhead.push(request);
+                        }),
+                setPassedOn: () => {
+                    request.isPassedOn = true;
+                    passedOnCount += 1;
+                },
                 whenNextToAnswer: () => {
                     const [next] = unanswered;
                     return isClosing || !unanswered.has(request)
@@ -100,7 +141,7 @@
                         ? Promise.resolve(true)
                         : new Promise(resolve => request.onNextToAnswer = resolve);
                 },
-                hasPassedOnBehind: () => [...unanswered].some(other => other !== request && other.isPassedOn),
+                hasPassedOnBehind: () => passedOnCount > (request.isPassedOn ? 1 : 0),
                 closeAfterAnswer: () => {
                     isClosing = true;
                     response.once("finish", () => recordClosing("closingAnswer"));
@@ -114,6 +155,10 @@
             onReadRequestsAnswered = listener;
             notifyIfReadRequestsAnswered();
         },
+        isWritingAnswer: () => {
+            const [next] = unanswered;
+            return next?.response.headersSent === true;
+        },
         closedBy: () => socket.destroyed ? closer : undefined
     };
 }
--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -333,13 +333,18 @@
             }
             return;
         }
+        const fewAhead = connectionRequest.whenFewAhead();
+        if (fewAhead !== undefined && (!await fewAhead || connection.isClosing())) {
+            return;
+        }
         const running = parts.run(routed);
         progress.running = running;
         connectionRequest.setPassedOn();
         connectionRequest.setCloseListener(running.abandon);
-        const result = await running.result;
+        const firstResult = await running.result;
         progress.isAnswering = true;
         const isWritable = await connectionRequest.whenNextToAnswer();
+        const result = withoutLostBody(firstResult);
         if (isWritable && result.kind === "answered") {
             sendAnswer(connection, connectionRequest, response, request.method, result.answer);
         }
@@ -369,7 +374,7 @@
         openConnections.add(socket);
         socket.once("close", () => openConnections.delete(socket));
     });
-    server.on("clientError", (error, socket) => {
+    server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
         const connection = connections.get(socket);
         const close = () => {
             if (connection?.isClosing() === true || (socket.writableEnded && !socket.destroyed)) {
@@ -377,8 +382,11 @@
                 return;
             }
             parts.log.info("bad request", { error: error.message }, "caller connection closed after a protocol error");
-            connection?.recordClosing("protocolError");
-            if (socket.writable) {
+            const isCallerGone = error.code === "ECONNRESET" || error.code === "EPIPE";
+            if (!isCallerGone) {
+                connection?.recordClosing("protocolError");
+            }
+            if (socket.writable && !isCallerGone && connection?.isWritingAnswer() !== true) {
                 closeWithLinger(
                     socket,
                     "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
@@ -408,6 +416,14 @@
     };
 }
 
+/** Reports an answer as lost if the rest of its body was lost before its head could be sent. */
+function withoutLostBody(result: RequestResult): RequestResult {
+    const unreadBody = result.kind === "answered" ? result.answer.unreadBody : undefined;
+    return unreadBody?.destroyed === true && !unreadBody.complete
+        ? { kind: "own", answer: "answerLost", retryAfterMillis: undefined }
+        : result;
+}
+
 /** Keeps a connection that is idle open for at least the given time from now. */
 function extendIdleTimeout(socket: Socket, idleTimeoutMillis: number): void {
     // While a request is open, the connection has no timeout.
