Daemon: close idle connections to backend servers on which bytes arrive

A server that sent bytes without end after a complete answer went on doing so: the pooled connection was idle, its bytes were read and dropped, and the connection stayed open. Bytes on an idle connection belong to no request, so they close it, as in the gateway.

--- a/packages/endivebridge-daemon/src/BackendConnections.ts
+++ b/packages/endivebridge-daemon/src/BackendConnections.ts
@@ -1,4 +1,6 @@
-import { Agent } from "node:http";
+import { Agent, type ClientRequest } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 
 /** HTTP agents for backend servers, with one connection pool per server. */
 export interface BackendConnections {
@@ -24,6 +26,27 @@
     readonly unpooled: Agent;
 }
 
+function destroyOnUnexpectedBytes(this: Socket): void {
+    this.destroy();
+}
+
+/** Pool whose idle connections close when bytes arrive on them, since these belong to no request. */
+class PooledConnections extends Agent {
+    override keepSocketAlive(socket: Duplex): boolean {
+        // The type declaration omits the boolean result.
+        const isKept = super.keepSocketAlive(socket) as unknown as boolean;
+        if (isKept) {
+            socket.on("data", destroyOnUnexpectedBytes);
+        }
+        return isKept;
+    }
+
+    override reuseSocket(socket: Duplex, request: ClientRequest): void {
+        socket.off("data", destroyOnUnexpectedBytes);
+        super.reuseSocket(socket, request);
+    }
+}
+
 /** Makes the connection pools; each is created on the first use of its server. */
 export function makeBackendConnections(options: BackendConnectionsOptions): BackendConnections {
     const agents = new Map<string, ServerAgents>();
@@ -33,13 +56,13 @@
             return existing;
         }
         const created: ServerAgents = {
-            pooled: new Agent({
+            pooled: new PooledConnections({
                 keepAlive: true,
                 maxSockets: options.connectionsPerServer,
                 scheduling: "lifo",
                 timeout: options.idleMillis
             }),
-            unpooled: new Agent({ keepAlive: false, maxSockets: options.connectionsPerServer })
+            unpooled: new PooledConnections({ keepAlive: false, maxSockets: options.connectionsPerServer })
         };
         agents.set(server, created);
         return created;
