--- a/packages/endivebridge-daemon/src/BackendConnections.ts
+++ b/packages/endivebridge-daemon/src/BackendConnections.ts
@@ -1,6 +1,5 @@
-import { Agent, type ClientRequest } from "node:http";
-import type { Socket } from "node:net";
-import type { Duplex } from "node:stream";
+import { GuardedAgent } from "@endivebridge/shared";
+import type { Agent } from "node:http";
 
 /** HTTP agents for backend servers, with one connection pool per server. */
 export interface BackendConnections {
@@ -26,27 +25,6 @@
     readonly unpooled: Agent;
 }
 
-function destroyOnUnexpectedBytes(this: Socket): void {
-    this.destroy();
-}
-
-/** Pool whose idle connections close when bytes arrive on them, since these belong to no request. */
-class PooledConnections extends Agent {
-    override keepSocketAlive(socket: Duplex): boolean {
-        // The type declaration omits the boolean result.
-        const isKept = super.keepSocketAlive(socket) as unknown as boolean;
-        if (isKept) {
-            socket.on("data", destroyOnUnexpectedBytes);
-        }
-        return isKept;
-    }
-
-    override reuseSocket(socket: Duplex, request: ClientRequest): void {
-        socket.off("data", destroyOnUnexpectedBytes);
-        super.reuseSocket(socket, request);
-    }
-}
-
 /** Makes the connection pools; each is created on the first use of its server. */
 export function makeBackendConnections(options: BackendConnectionsOptions): BackendConnections {
     const agents = new Map<string, ServerAgents>();
@@ -56,13 +34,13 @@
             return existing;
         }
         const created: ServerAgents = {
-            pooled: new PooledConnections({
+            pooled: new GuardedAgent({
                 keepAlive: true,
                 maxSockets: options.connectionsPerServer,
                 scheduling: "lifo",
                 timeout: options.idleMillis
             }),
-            unpooled: new PooledConnections({ keepAlive: false, maxSockets: options.connectionsPerServer })
+            unpooled: new GuardedAgent({ keepAlive: false, maxSockets: options.connectionsPerServer })
         };
         agents.set(server, created);
         return created;
--- a/packages/endivebridge-gateway/src/CallerConnection.ts
+++ b/packages/endivebridge-gateway/src/CallerConnection.ts
@@ -28,11 +28,11 @@
      */
     readonly whenFewAhead: () => Promise<boolean> | undefined;
     /** Records that the request is being served, so that answers ahead of it keep the connection open. */
-    readonly setPassedOn: () => void;
+    readonly setInService: () => void;
     /** Resolves once the answers ahead are written, or with false if the connection has closed or is closing. */
     readonly whenNextToAnswer: () => Promise<boolean>;
-    /** Whether a request behind this one was passed on and is unanswered. */
-    readonly hasPassedOnBehind: () => boolean;
+    /** Whether a request behind this one is in service. */
+    readonly hasInServiceBehind: () => boolean;
     /** Records that the answer to this request closes the connection. */
     readonly closeAfterAnswer: () => void;
     /** Registers the listener that is called if the connection closes before the answer is written. */
@@ -46,13 +46,13 @@
     readonly number: number;
     readonly response: ServerResponse;
     readonly onEnd: () => void;
-    isPassedOn: boolean;
+    isInService: boolean;
     onClose: () => void;
     onNextToAnswer: (isWritable: boolean) => void;
     onFewAhead: (isOpen: boolean) => void;
 }
 
-/** Tracks a connection; `onUnanswered` is called for each passed-on request that is unanswered when it closes. */
+/** Tracks a connection; `onUnanswered` is called for each request in service when it closes. */
 export function makeCallerConnection(
     socket: Socket,
     onUnanswered: (closedBy: ConnectionCloser) => void
@@ -62,7 +62,7 @@
     let closer: ConnectionCloser = "caller";
     let requestCount = 0;
     let answeredCount = 0;
-    let passedOnCount = 0;
+    let inServiceCount = 0;
     let waitingForFewAhead: UnansweredRequest[] = [];
     let onReadRequestsAnswered: (() => void) | undefined;
     const hasFewAhead = ({ number }: UnansweredRequest) => number - answeredCount <= maxServedRequests;
@@ -88,7 +88,7 @@
     socket.once("close", () => {
         for (const request of unanswered) {
             unanswered.delete(request);
-            if (request.isPassedOn) {
+            if (request.isInService) {
                 onUnanswered(closer);
             }
             request.onClose();
@@ -104,7 +104,7 @@
                 number: requestCount,
                 response,
                 onEnd,
-                isPassedOn: false,
+                isInService: false,
                 onClose: () => undefined,
                 onNextToAnswer: () => undefined,
                 onFewAhead: () => undefined
@@ -113,7 +113,7 @@
             response.once("finish", () => {
                 if (unanswered.delete(request)) {
                     answeredCount += 1;
-                    passedOnCount -= request.isPassedOn ? 1 : 0;
+                    inServiceCount -= request.isInService ? 1 : 0;
                     onEnd();
                     const [next] = unanswered;
                     next?.onNextToAnswer(!isClosing);
@@ -129,9 +129,9 @@
                             request.onFewAhead = resolve;
                             waitingForFewAhead.push(request);
                         }),
-                setPassedOn: () => {
-                    request.isPassedOn = true;
-                    passedOnCount += 1;
+                setInService: () => {
+                    request.isInService = true;
+                    inServiceCount += 1;
                 },
                 whenNextToAnswer: () => {
                     const [next] = unanswered;
@@ -141,7 +141,7 @@
                         ? Promise.resolve(true)
                         : new Promise(resolve => request.onNextToAnswer = resolve);
                 },
-                hasPassedOnBehind: () => passedOnCount > (request.isPassedOn ? 1 : 0),
+                hasInServiceBehind: () => inServiceCount > (request.isInService ? 1 : 0),
                 closeAfterAnswer: () => {
                     isClosing = true;
                     response.once("finish", () => recordClosing("closingAnswer"));
--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -82,8 +82,8 @@
 const idleTimeoutMarginMillis = 1_000;
 const initialIdleTimeoutMillis = 60_000;
 /**
- * Retry-After of a 503 that is decided before the request runs, unless the instance is shutting down. The usual cause is a configuration that is not
- * loaded yet, and loading usually takes less than this.
+ * Retry-After of a 503 that is decided before the request runs, unless the instance is shutting down. The usual cause is
+ * a configuration that is not loaded yet, and loading usually takes less than this.
  */
 const earlyRefusalRetryMillis = 300;
 
@@ -149,9 +149,9 @@
         });
     };
 
-    /** Whether this answer ends its connection: in a shutdown, unless a request behind it was passed on. */
+    /** Whether this answer ends its connection: in a shutdown, unless a request behind it is in service. */
     const closesConnection = (connectionRequest: ConnectionRequest): boolean =>
-        parts.isLeaving() && !connectionRequest.hasPassedOnBehind();
+        parts.isLeaving() && !connectionRequest.hasInServiceBehind();
 
     const sendFinalAnswer = (
         connectionRequest: ConnectionRequest,
@@ -208,7 +208,7 @@
         }
         const hasBody = answer.status !== 204 && answer.status !== 304;
         if (!answer.hasDeclaredLength && hasBody && method !== "HEAD") {
-            if (connectionRequest.hasPassedOnBehind()) {
+            if (connectionRequest.hasInServiceBehind()) {
                 // Chunks keep the connection open for the requests behind. The body is complete: the backend server
                 // closed its connection cleanly, and an answer cut off by a reset is never passed on.
                 response.writeHead(answer.status, flat);
@@ -339,7 +339,7 @@
         }
         const running = parts.run(routed);
         progress.running = running;
-        connectionRequest.setPassedOn();
+        connectionRequest.setInService();
         connectionRequest.setCloseListener(running.abandon);
         const firstResult = await running.result;
         progress.isAnswering = true;
--- a/packages/endivebridge-gateway/src/GatewayMetrics.ts
+++ b/packages/endivebridge-gateway/src/GatewayMetrics.ts
@@ -20,7 +20,7 @@
         }),
         unansweredRequests: new Counter({
             name: "endivebridge_unanswered_requests_total",
-            help: "Requests passed on whose connection closed before their answer was written, by what closed it",
+            help: "Requests in service whose connection closed before their answer was written, by what closed it",
             labelNames: ["closedBy"],
             registers
         }),
--- a/packages/endivebridge-gateway/src/ServerConnections.ts
+++ b/packages/endivebridge-gateway/src/ServerConnections.ts
@@ -1,6 +1,4 @@
-import { monotonicMillis } from "@endivebridge/shared";
-import { Agent, type ClientRequest } from "node:http";
-import type { Socket } from "node:net";
+import { GuardedAgent, monotonicMillis } from "@endivebridge/shared";
 import type { Duplex } from "node:stream";
 
 /** Idle time after which the kernel sends the first TCP keep-alive probe. */
@@ -8,15 +6,8 @@
 
 const idleSinceMillis = new WeakMap<Duplex, number>();
 
-function destroyOnUnexpectedBytes(this: Socket): void {
-    this.destroy();
-}
-
-/**
- * Connection pool of one backend server. Bytes on an idle connection belong to no request, so they close it; a
- * connection is reused only within the idle limit.
- */
-export class ServerConnections extends Agent {
+/** Connection pool of one backend server; a connection is reused only within the idle limit. */
+export class ServerConnections extends GuardedAgent {
     readonly #maxIdleMillis: number;
 
     /** Connections idle for longer than the limit are not reused, since the server may no longer know them. */
@@ -43,17 +34,10 @@
     }
 
     override keepSocketAlive(socket: Duplex): boolean {
-        // The base class evaluates the server's Keep-Alive header; its type declaration omits the boolean result.
-        const isKept = super.keepSocketAlive(socket) as unknown as boolean;
+        const isKept = super.keepSocketAlive(socket);
         if (isKept) {
             idleSinceMillis.set(socket, monotonicMillis());
-            socket.on("data", destroyOnUnexpectedBytes);
         }
         return isKept;
     }
-
-    override reuseSocket(socket: Duplex, request: ClientRequest): void {
-        socket.off("data", destroyOnUnexpectedBytes);
-        super.reuseSocket(socket, request);
-    }
 }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,4 +1,5 @@
 export { isConnectionHeader } from "./ConnectionHeaders";
+export { GuardedAgent } from "./GuardedAgent";
 export { httpExchange, type HttpFailure, type HttpRequestOptions, type HttpResponse } from "./HttpExchange";
 export { invariant } from "./Invariant";
 export { limitBytesWithoutProgress, type ProgressLimit } from "./LimitBytesWithoutProgress";
