Gateway: log and count what servers with a rate limit get

The limit that a backend server reports was not decoded, so that neither logs nor metrics showed which sends exceed it. It is now decoded and remembered per server, the line "server limit" tells each change with the sends of this instance in the four seconds before, and endivebridge_limited_server_sends_total counts sends to such servers by kind. Placement does not use it yet.

--- a/packages/endivebridge-gateway/src/Dialect.ts
+++ b/packages/endivebridge-gateway/src/Dialect.ts
@@ -14,6 +14,9 @@
     readonly serverIdHeader: string;
     readonly coldMillisHeader: string;
     readonly serverLoadHeader: string;
+    /** Header with the requests per second that the backend server accepts from all instances together. */
+    readonly serverLimitHeader: string;
+    readonly parseServerLimit: (text: string) => number | undefined;
     readonly parseServerLoad: (text: string) => ServerLoad | undefined;
 }
 
--- a/packages/endivebridge-gateway/src/GatewayMetrics.ts
+++ b/packages/endivebridge-gateway/src/GatewayMetrics.ts
@@ -44,6 +44,12 @@
             labelNames: ["service", "outcome"],
             registers
         }),
+        limitedServerSends: new Counter({
+            name: "endivebridge_limited_server_sends_total",
+            help: "Sends to backend servers that report a rate limit, by kind of send",
+            labelNames: ["kind"],
+            registers
+        }),
         cutRequests: new Counter({
             name: "endivebridge_cut_requests_total",
             help: "Requests still open when the instance ended its shutdown, by stage",
--- a/packages/endivebridge-gateway/src/RequestSends.ts
+++ b/packages/endivebridge-gateway/src/RequestSends.ts
@@ -36,6 +36,9 @@
     readonly triedServers: Set<string>;
 }
 
+/** Kind of a send: the first of its request, one after a failed send, or one beside a slow send. */
+type SendKind = "first" | "resend" | "hedge";
+
 /** Connect timeout within the region; servers accept connections within milliseconds. */
 const connectTimeoutMillis = 400;
 /** Connect timeout to another region, longer than the network round trip. */
@@ -75,9 +78,13 @@
     };
 
     /** Sends the request once and updates the server's statistics from the outcome. */
-    const sendOnce = async (placed: Placed): Promise<CompletedAttempt> => {
-        const { server } = placed.tracked;
+    const sendOnce = async (placed: Placed, kind: SendKind): Promise<CompletedAttempt> => {
+        const { server, rateLimit, recentSends } = placed.tracked;
         const sentMillis = monotonicMillis();
+        recentSends.add(sentMillis);
+        if (rateLimit.requestsPerSecond(sentMillis) !== undefined) {
+            parts.metrics.limitedServerSends.inc({ kind });
+        }
         const leftMillis = Math.max(1, Math.floor(deadlineMillis - sentMillis));
         triedServers.add(server.id);
         count += 1;
@@ -126,12 +133,12 @@
         parts.retryBudget.trySpend(service.name, instances(), nowMillis);
         logRepeatedSend("hedge", placed, "no answer yet", parts.hedging.delayMillis(placed.expectedMillis));
         placed.tracked.ownInFlight += 1;
-        return sendOnce(placed);
+        return sendOnce(placed, "hedge");
     };
 
     return {
         send: async placed => {
-            const first = sendOnce(placed);
+            const first = sendOnce(placed, count === 0 ? "first" : "resend");
             if (!route.isIdempotent) {
                 return first;
             }
--- a/packages/endivebridge-gateway/src/UpdateServerStatistics.ts
+++ b/packages/endivebridge-gateway/src/UpdateServerStatistics.ts
@@ -8,6 +8,7 @@
     type TrackedServer
 } from "@endivebridge/traffic";
 import type { Dialect } from "./Dialect";
+import type { EventLog } from "./EventLog";
 import type { ExchangeOutcome, ServerAnswer } from "./Exchange";
 
 /** A send with its route, server, outcome and duration. */
@@ -21,10 +22,11 @@
     readonly hasCacheLocality: boolean;
 }
 
-/** Header names and service time estimates that the update uses. */
+/** Header names, service time estimates and log that the update uses. */
 export interface ServerStatisticsParts {
     readonly dialect: Dialect;
     readonly estimates: ServiceTimeEstimates;
+    readonly log: EventLog;
 }
 
 /** Backoff after a failed connection, in which the server gets no requests; each further failure doubles it. */
@@ -55,6 +57,7 @@
             tracked.coldUntilMillis = Math.max(tracked.coldUntilMillis, nowMillis + service.coldStartMillis);
         }
         recordReportedLoad(parts.dialect, tracked, outcome.answer, nowMillis);
+        recordReportedLimit(parts, tracked, outcome.answer, nowMillis - send.tookMillis, nowMillis);
         const isSuccess = outcome.answer.isSigned && !isFailure;
         // Response times from other regions include the network round trip, so they are left out of the estimates.
         if (isSuccess && !send.placed.isRemote) {
@@ -77,3 +80,31 @@
         tracked.slownessAtMillis = nowMillis;
     }
 }
+
+/**
+ * Records the rate limit that an answer states. An answer without a limit ends it only if the server ran the request,
+ * and as of the time when the request was sent, since answers may arrive in another order.
+ */
+function recordReportedLimit(
+    { dialect, log }: ServerStatisticsParts,
+    { server, rateLimit, recentSends }: TrackedServer,
+    { headers, isSigned, isNotExecuted }: ServerAnswer,
+    sentMillis: number,
+    nowMillis: number
+): void {
+    const text = headers[dialect.serverLimitHeader];
+    const requestsPerSecond = typeof text === "string" ? dialect.parseServerLimit(text) : undefined;
+    if (requestsPerSecond === undefined && (text !== undefined || !isSigned || isNotExecuted)) {
+        return;
+    }
+    const atMillis = requestsPerSecond === undefined ? sentMillis : nowMillis;
+    const previous = rateLimit.requestsPerSecond(nowMillis);
+    if (rateLimit.record({ requestsPerSecond, atMillis }, nowMillis)) {
+        log.info("server limit", {
+            server: server.id,
+            requestsPerSecond,
+            previous,
+            recentSends: recentSends.total(nowMillis)
+        }, "backend server changed its rate limit");
+    }
+}
--- a/packages/endivebridge-traffic/src/ServerPool.ts
+++ b/packages/endivebridge-traffic/src/ServerPool.ts
@@ -1,5 +1,7 @@
 import { type ColdRateLimiter, makeColdRateLimiter } from "./ColdRateLimiter";
 import { hashText } from "./Hash";
+import { makeReportedRateLimit, type ReportedRateLimit } from "./ReportedRateLimit";
+import { makeSlidingCount, type SlidingCount } from "./SlidingCount";
 
 /** Description of a backend server, reported by the server or by the platform. */
 export interface BackendServer {
@@ -22,6 +24,9 @@
     server: BackendServer;
     readonly hash: number;
     readonly coldRateLimiter: ColdRateLimiter;
+    readonly rateLimit: ReportedRateLimit;
+    /** Sends of this instance in the last `recentSendsMillis`. */
+    readonly recentSends: SlidingCount;
     ownInFlight: number;
     /** Requests in flight from other instances, by their last reports. */
     peersInFlight: number;
@@ -48,6 +53,9 @@
     readonly remove: (id: string) => TrackedServer | undefined;
 }
 
+/** Window of the count of recent sends to a server, which is logged when its rate limit changes. */
+export const recentSendsMillis = 4_000;
+
 const emptyServerList: readonly TrackedServer[] = [];
 
 /** Creates a pool without servers. */
@@ -75,6 +83,8 @@
         server,
         hash: hashText(server.id),
         coldRateLimiter: makeColdRateLimiter(nowMillis),
+        rateLimit: makeReportedRateLimit(nowMillis),
+        recentSends: makeSlidingCount(recentSendsMillis),
         ownInFlight: 0,
         peersInFlight: 0,
         slowness: 1,
--- a/packages/endivebridge-traffic/src/index.ts
+++ b/packages/endivebridge-traffic/src/index.ts
@@ -14,6 +14,7 @@
     type Unplaced
 } from "./Placement";
 export { initialShareFactor, makeRegionBalance, type RegionBalance, type ServiceUse } from "./RegionBalance";
+export { makeReportedRateLimit, type RateLimitObservation, type ReportedRateLimit } from "./ReportedRateLimit";
 export { makeRequestQueue, type RefusalReason, type RequestQueue, type Waiter } from "./RequestQueue";
 export { makeRetryBudget, type RetryBudget, type RetryBudgetLimits } from "./RetryBudget";
 export { makeRouteTable, type RouteTable } from "./RouteTable";
