Gateway: share the rate limits of backend servers over all instances

One token at a time spaces the sends; resends and hedges take tokens too. The shares of all instances add up to the limit as long as they know the same instances, and members that may still run count while they are silent. Messages between instances carry what answers said, so that an instance without a share learns of a limit and of its end. A server at its limit is left out for the next one; a request that no limit allows in time is refused at once as not run, with a reason of its own.

--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -25,6 +25,8 @@
 import type { GatewayMetrics } from "./GatewayMetrics";
 import { makeKnownState } from "./KnownState";
 import { memberLivenessMillis, startPeerExchange } from "./PeerExchange";
+import { makeRateLimitReports } from "./RateLimitReports";
+import { makeRateLimitShares } from "./RateLimitSharing";
 import { makeRegionBalancing } from "./RegionBalancing";
 import { runRequest } from "./RunRequest";
 import { ServerConnections } from "./ServerConnections";
@@ -142,6 +144,9 @@
 
     const coldRateSharerCount = makeColdSharers(own, members, startedMillis);
 
+    const rateLimitShare = makeRateLimitShares(own, members, startedMillis);
+    const rateLimitReports = makeRateLimitReports(pool);
+
     const placement = makePlacement({
         failureDomain: own.failureDomain,
         region: own.region,
@@ -150,6 +155,7 @@
         isEvacuated: beliefs.isEvacuated,
         roundTripMillis: () => otherRegionRoundTripMillis,
         coldRateSharerCount,
+        rateLimitShare,
         estimates,
         balance,
         random: Math.random
@@ -196,6 +202,7 @@
                 requestQueue,
                 offerFreeSlots,
                 retryBudget,
+                rateLimitReports,
                 hedging,
                 estimates,
                 poison,
@@ -294,6 +301,8 @@
                 tracked.peersInFlight = inFlightByServer.get(tracked.server.id) ?? 0;
             }
         },
+        rateLimits: () => rateLimitReports.nextReports(monotonicMillis()),
+        onRateLimits: reports => rateLimitReports.recordReports(reports, monotonicMillis()),
         onCrashes: crashes => {
             const nowMillis = monotonicMillis();
             for (const crash of crashes) {
@@ -349,7 +358,7 @@
             return () => newerTableListeners.delete(listener);
         },
         hasMemberWithStoreAccess: millis => members.hasMemberWithStoreFor(millis, monotonicMillis()),
-        addMember: members.addMember,
+        addMember: record => members.addMember(record, monotonicMillis()),
         isReady,
         directory: makeDirectory(own, isReady, members),
         stop: () => {
--- a/packages/endivebridge-gateway/src/PeerExchange.ts
+++ b/packages/endivebridge-gateway/src/PeerExchange.ts
@@ -4,6 +4,7 @@
 import { createSocket } from "node:dgram";
 import { array, boolean, Codec, type GetType, number, optional, record, string } from "purify-ts";
 import type { EventLog } from "./EventLog";
+import type { RateLimitReport } from "./RateLimitReports";
 
 const MemberRecordCodec = Codec.interface({
     name: string,
@@ -23,6 +24,12 @@
     awayShares: record(string, number),
     hasStoreMillis: optional(number),
     tableVersions: record(string, number),
+    /** Instances that the sender knows but does not hear. */
+    silentMembers: optional(array(string)),
+    /** Rate limits that answers to the sender stated. */
+    rateLimits: optional(array(
+        Codec.interface({ server: string, requestsPerSecond: optional(number), ageMillis: number })
+    )),
     /** Number of other instances that the sender knows. */
     membersKnown: number,
     /** Records of some of these instances, for a receiver that knows fewer. */
@@ -41,9 +48,11 @@
     readonly members: Members;
     /** Addresses that are contacted while no live instance is known. */
     readonly seeds: readonly { readonly host: string; readonly port: number; }[];
-    readonly describeSelf: () => Omit<MemberReport, "record" | "incarnation" | "sequence">;
+    readonly describeSelf: () => Omit<MemberReport, "record" | "incarnation" | "sequence" | "silentMembers">;
+    readonly rateLimits: () => readonly RateLimitReport[];
     readonly crashes: () => readonly StruckRequest[];
     readonly onReport: (report: MemberReport) => void;
+    readonly onRateLimits: (reports: readonly RateLimitReport[]) => void;
     readonly onCrashes: (crashes: readonly StruckRequest[]) => void;
     readonly log: EventLog;
 }
@@ -70,6 +79,8 @@
 /** Minimum time between two batches of member records to an instance that knows fewer members than this one. */
 const introductionIntervalMillis = 1_000;
 const maxCrashesInMessage = 8;
+/** Further silent members count as heard, which leaves them their shares of rate limits. */
+const maxSilentMembersInMessage = 100;
 
 /** Liveness timeouts within the region and to other regions; several messages may be lost before they pass. */
 const nearLivenessMillis = 1_200;
@@ -109,12 +120,20 @@
             return;
         }
         const nowMillis = monotonicMillis();
-        const report: MemberReport = { ...message, hasStoreMillis: message.hasStoreMillis };
+        const report: MemberReport = {
+            ...message,
+            hasStoreMillis: message.hasStoreMillis,
+            silentMembers: message.silentMembers
+        };
         const isNewer = parts.members.recordReport(report, nowMillis);
-        message.members?.forEach(parts.members.addMember);
+        message.members?.forEach(record => parts.members.addMember(record, nowMillis));
         if (isNewer) {
             introductions.recordMembersKnown(report.record.name, message.membersKnown);
             parts.onReport(report);
+            parts.onRateLimits((message.rateLimits ?? []).map(limit => ({
+                ...limit,
+                requestsPerSecond: limit.requestsPerSecond
+            })));
         }
         if (message.crashes !== undefined && message.crashes.length > 0) {
             parts.onCrashes(message.crashes);
@@ -124,6 +143,8 @@
     const encodeMessage = (memberRecords: readonly MemberRecord[]): Buffer => {
         sequence += 1;
         const crashes = parts.crashes().slice(-maxCrashesInMessage);
+        const rateLimits = parts.rateLimits();
+        const silentMembers = parts.members.silent(monotonicMillis()).slice(0, maxSilentMembersInMessage);
         const { isReady, inFlight, awayShares, hasStoreMillis, tableVersions } = parts.describeSelf();
         const content: PeerMessage = {
             record: parts.own,
@@ -134,6 +155,8 @@
             awayShares: { ...awayShares },
             hasStoreMillis,
             tableVersions: { ...tableVersions },
+            silentMembers: silentMembers.map(member => member.name),
+            rateLimits: rateLimits.length > 0 ? [...rateLimits] : undefined,
             membersKnown: parts.members.allRecords().length,
             members: memberRecords.length > 0 ? [...memberRecords] : undefined,
             crashes: crashes.length > 0 ? crashes.map(crash => ({ ...crash, servers: [...crash.servers] })) : undefined
--- /dev/null
+++ b/packages/endivebridge-gateway/src/RateLimitSharing.ts
@@ -0,0 +1,47 @@
+import { monotonicMillis } from "@endivebridge/shared";
+import { type BackendServer, computeRateLimitShare, type MemberRecord, type Members } from "@endivebridge/traffic";
+
+/** An instance that knows no member this long after its start assumes that it is the only one. */
+const soleInstanceAfterMillis = 5_000;
+/** Interval at which the list of instances that share the limits is determined anew. */
+const refreshIntervalMillis = 500;
+
+/** Shares of this instance in the rate limits of backend servers. */
+export type RateLimitShares = (requestsPerSecond: number, server: BackendServer) => number;
+
+/**
+ * Creates the function that computes this instance's share of a server's rate limit. Members that may still run count,
+ * also while they are silent. Right after the start, while no member is known, the share is 0. Each placement calls the
+ * function, so shares are cached while the instances stay the same.
+ */
+export function makeRateLimitShares(own: MemberRecord, members: Members, startedMillis: number): RateLimitShares {
+    let sharers: readonly MemberRecord[] = [];
+    let refreshedAtMillis = -Infinity;
+    const shares = new Map<string, { readonly requestsPerSecond: number; readonly share: number; }>();
+
+    const refreshSharers = (nowMillis: number) => {
+        refreshedAtMillis = nowMillis;
+        const current = members.possiblyRunning(nowMillis);
+        if (current.length !== sharers.length || current.some((record, index) => record !== sharers[index])) {
+            sharers = current;
+            shares.clear();
+        }
+    };
+
+    return (requestsPerSecond, server) => {
+        const nowMillis = monotonicMillis();
+        if (nowMillis - refreshedAtMillis > refreshIntervalMillis) {
+            refreshSharers(nowMillis);
+        }
+        if (sharers.length === 0 && nowMillis - startedMillis < soleInstanceAfterMillis) {
+            return 0;
+        }
+        const known = shares.get(server.id);
+        if (known?.requestsPerSecond === requestsPerSecond) {
+            return known.share;
+        }
+        const share = computeRateLimitShare(own, sharers, server, requestsPerSecond);
+        shares.set(server.id, { requestsPerSecond, share });
+        return share;
+    };
+}
--- a/packages/endivebridge-gateway/src/RequestSends.ts
+++ b/packages/endivebridge-gateway/src/RequestSends.ts
@@ -79,9 +79,8 @@
 
     /** Sends the request once and updates the server's statistics from the outcome. */
     const sendOnce = async (placed: Placed, kind: SendKind): Promise<CompletedAttempt> => {
-        const { server, rateLimit, recentSends } = placed.tracked;
+        const { server, rateLimit } = placed.tracked;
         const sentMillis = monotonicMillis();
-        recentSends.add(sentMillis);
         if (rateLimit.requestsPerSecond(sentMillis) !== undefined) {
             parts.metrics.limitedServerSends.inc({ kind });
         }
@@ -132,7 +131,7 @@
         }
         parts.retryBudget.trySpend(service.name, instances(), nowMillis);
         logRepeatedSend("hedge", placed, "no answer yet", parts.hedging.delayMillis(placed.expectedMillis));
-        placed.tracked.ownInFlight += 1;
+        parts.placement.reserve(placed, nowMillis);
         return sendOnce(placed, "hedge");
     };
 
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -19,6 +19,7 @@
 import { type ExchangeOutcome, isRefusingConnections, type ServerAnswer } from "./Exchange";
 import { type FinalAnswerKind, leavingRetryMillis } from "./FinalAnswers";
 import type { GatewayMetrics } from "./GatewayMetrics";
+import type { RateLimitReports } from "./RateLimitReports";
 import { makeRequestSends } from "./RequestSends";
 import type { ServerConnections } from "./ServerConnections";
 
@@ -67,6 +68,7 @@
     /** Offers a freed slot to the queued requests. */
     readonly offerFreeSlots: (service: string) => void;
     readonly retryBudget: RetryBudget;
+    readonly rateLimitReports: RateLimitReports;
     readonly hedging: Hedging;
     readonly estimates: ServiceTimeEstimates;
     readonly poison: QuarantineList;
@@ -97,6 +99,7 @@
 const refusalAnswers: Record<RefusalReason, FinalAnswerKind> = {
     "no servers": "noServers",
     "overloaded": "overloaded",
+    "rate limited": "rateLimited",
     "waited too long": "overloaded"
 };
 
@@ -142,6 +145,7 @@
             const waitingSinceMillis = monotonicMillis();
             let isFirstPlacementTry = isNew;
             let reason: RefusalReason | undefined;
+            let isWithinRateLimits = true;
             const resolvePlacement = (placementResult: PlacementResult) => {
                 stopWaiting = undefined;
                 resolve(placementResult);
@@ -172,22 +176,22 @@
                             keyHash,
                             triedServers,
                             waitedShare,
-                            isFirstAttempt: isFirstPlacementTry
+                            isFirstAttempt: isFirstPlacementTry,
+                            latestSendMillis: waiter.latestSendMillis
                         },
                         nowMillis
                     );
                     isFirstPlacementTry = false;
+                    isWithinRateLimits = chosen !== "rate limited";
                     if (typeof chosen === "string") {
                         reason = chosen === "no servers" ? "no servers" : undefined;
                         return false;
                     }
-                    chosen.tracked.ownInFlight += 1;
-                    if (chosen.tracked.coldUntilMillis > nowMillis) {
-                        chosen.tracked.coldRateLimiter.consumeToken();
-                    }
+                    parts.placement.reserve(chosen, nowMillis);
                     resolvePlacement({ kind: "placed", placed: chosen });
                     return true;
                 },
+                isWithinRateLimits: () => isWithinRateLimits,
                 refuse: (queueReason, retryAfterMillis) => {
                     resolvePlacement(
                         isTooLateInStop(monotonicMillis())
--- a/packages/endivebridge-gateway/src/UpdateServerStatistics.ts
+++ b/packages/endivebridge-gateway/src/UpdateServerStatistics.ts
@@ -10,6 +10,7 @@
 import type { Dialect } from "./Dialect";
 import type { EventLog } from "./EventLog";
 import type { ExchangeOutcome, ServerAnswer } from "./Exchange";
+import type { RateLimitReports } from "./RateLimitReports";
 
 /** A send with its route, server, outcome and duration. */
 export interface CompletedSend {
@@ -22,10 +23,11 @@
     readonly hasCacheLocality: boolean;
 }
 
-/** Header names, service time estimates and log that the update uses. */
+/** Header names, service time estimates, rate limits and log that the update uses. */
 export interface ServerStatisticsParts {
     readonly dialect: Dialect;
     readonly estimates: ServiceTimeEstimates;
+    readonly rateLimitReports: RateLimitReports;
     readonly log: EventLog;
 }
 
@@ -86,7 +88,7 @@
  * and as of the time when the request was sent, since answers may arrive in another order.
  */
 function recordReportedLimit(
-    { dialect, log }: ServerStatisticsParts,
+    { dialect, rateLimitReports, log }: ServerStatisticsParts,
     { server, rateLimit, recentSends }: TrackedServer,
     { headers, isSigned, isNotExecuted }: ServerAnswer,
     sentMillis: number,
@@ -99,7 +101,7 @@
     }
     const atMillis = requestsPerSecond === undefined ? sentMillis : nowMillis;
     const previous = rateLimit.requestsPerSecond(nowMillis);
-    if (rateLimit.record({ requestsPerSecond, atMillis }, nowMillis)) {
+    if (rateLimitReports.recordAnswer(server.id, { requestsPerSecond, atMillis }, nowMillis)) {
         log.info("server limit", {
             server: server.id,
             requestsPerSecond,
--- a/packages/endivebridge-gateway/src/__tests__/unit/ColdSharers.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/ColdSharers.test.ts
@@ -20,10 +20,10 @@
     const members = makeMembers("own", () => 1_000);
     const sharers = makeColdSharers(own, members, longAgo);
     t.is(sharers("fraser-a"), 1);
-    members.addMember(member("near", "fraser-a"));
+    members.addMember(member("near", "fraser-a"), 0);
     t.is(sharers("fraser-a"), 2);
     t.is(sharers("fraser-b"), 2, "no instance known in the failure domain: shared by the region");
-    members.addMember(member("beside", "fraser-b"));
+    members.addMember(member("beside", "fraser-b"), 0);
     t.is(sharers("fraser-b"), 0, "left to the instance of that failure domain");
     t.is(sharers("fraser-a"), 2);
 });
@@ -31,7 +31,7 @@
 test("counts a member in its new failure domain after a restart there", t => {
     const members = makeMembers("own", () => 1_000);
     const sharers = makeColdSharers(own, members, longAgo);
-    members.addMember(member("near", "fraser-a"));
+    members.addMember(member("near", "fraser-a"), 0);
     t.is(sharers("fraser-a"), 2);
     members.recordReport({
         record: member("near", "fraser-b"),
--- a/packages/endivebridge-gateway/src/__tests__/unit/PeerExchange.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/PeerExchange.test.ts
@@ -36,8 +36,8 @@
     const own = memberRecord("own", instancePort);
     const record = memberRecord("peer", portOf(peer));
     // No process listens at these addresses; they only fill the member list.
-    range(5).forEach(index => members.addMember(memberRecord(`other-${index}`, 9)));
-    members.addMember(record);
+    range(5).forEach(index => members.addMember(memberRecord(`other-${index}`, 9), 0));
+    members.addMember(record, 0);
     const exchange = startPeerExchange({
         own,
         incarnation: "first",
@@ -51,6 +51,8 @@
             tableVersions: {}
         }),
         crashes: () => [],
+        rateLimits: () => [],
+        onRateLimits: () => undefined,
         onReport: () => undefined,
         onCrashes: () => undefined,
         log: makeEventLog("test", "own", { write: () => undefined, takeDroppedCount: () => 0 })
@@ -70,7 +72,9 @@
                 tableVersions: {},
                 membersKnown,
                 members: undefined,
-                crashes: undefined
+                crashes: undefined,
+                silentMembers: undefined,
+                rateLimits: undefined
             };
             peer.send(JSON.stringify(answer), instancePort, host);
             if (seen.length === messages) {
--- /dev/null
+++ b/packages/endivebridge-gateway/src/__tests__/unit/RateLimitSharing.test.ts
@@ -0,0 +1,86 @@
+// Guards against rate limits that are exceeded by instances which miscount the others, or left unused for good because
+// instances count that have ended.
+
+import {
+    type BackendServer,
+    makeMembers,
+    makeServerPool,
+    type MemberRecord,
+    type Members
+} from "@endivebridge/traffic";
+import test from "ava";
+import { makeRateLimitReports } from "../../RateLimitReports";
+import { makeRateLimitShares } from "../../RateLimitSharing";
+
+const record = (name: string): MemberRecord => ({
+    name,
+    host: "10.0.0.1",
+    peerPort: 1,
+    callerAddress: name,
+    failureDomain: "fraser-a",
+    region: "fraser"
+});
+const server: BackendServer = {
+    id: "s1",
+    service: "desk",
+    host: "10.0.0.1",
+    port: 80,
+    failureDomain: "fraser-a",
+    region: "fraser",
+    slots: 4,
+    isLeaving: false,
+    coldRemainingMillis: 0,
+    bornEpochMillis: 0
+};
+const own = record("own");
+const longAgo = -60_000;
+
+function report(members: Members, name: string, silentMembers: readonly string[], nowMillis: number): void {
+    members.recordReport({
+        record: record(name),
+        incarnation: "first",
+        sequence: nowMillis,
+        isReady: true,
+        inFlight: {},
+        awayShares: {},
+        hasStoreMillis: undefined,
+        tableVersions: {},
+        silentMembers
+    }, nowMillis);
+}
+
+test("uses no rate limit right after the start while no member is known, and the whole limit when alone", t => {
+    const members = makeMembers("own", () => 1_000);
+    t.is(makeRateLimitShares(own, members, performance.now())(4, server), 0);
+    t.is(makeRateLimitShares(own, members, longAgo)(4, server), 4);
+});
+
+test("shares a rate limit with silent members that may still run", t => {
+    const members = makeMembers("own", () => 1_000);
+    members.addMember(record("unheard"), performance.now());
+    t.is(makeRateLimitShares(own, members, longAgo)(4, server), 2);
+});
+
+test("leaves a share to a member that another one hears, and none to one that all miss for a long time", t => {
+    const members = makeMembers("own", () => 1_000);
+    report(members, "ended", [], 0);
+    report(members, "partitioned", [], 0);
+    report(members, "live", ["ended"], 60_000);
+    t.deepEqual(members.possiblyRunning(60_000).map(({ name }) => name), ["partitioned", "live"]);
+    t.deepEqual(members.possiblyRunning(10_000).map(({ name }) => name), ["ended", "partitioned", "live"]);
+});
+
+test("peers learn a rate limit and its end from the reports of an instance that gets answers", t => {
+    const pools = [makeServerPool(), makeServerPool()] as const;
+    pools.forEach(pool => pool.upsert(server, 0));
+    const [sender, receiver] = [makeRateLimitReports(pools[0]), makeRateLimitReports(pools[1])];
+    const limitAtReceiver = (nowMillis: number) => pools[1].get("s1")!.rateLimit.requestsPerSecond(nowMillis);
+    sender.recordAnswer("s1", { requestsPerSecond: 3, atMillis: 1_000 }, 1_000);
+    receiver.recordReports(sender.nextReports(1_100), 1_200);
+    t.is(limitAtReceiver(1_200), 3);
+    t.deepEqual(sender.nextReports(20_000), [{ server: "s1", requestsPerSecond: 3, ageMillis: 19_000 }]);
+    sender.recordAnswer("s1", { requestsPerSecond: undefined, atMillis: 20_100 }, 20_200);
+    receiver.recordReports(sender.nextReports(20_300), 20_300);
+    t.is(limitAtReceiver(20_300), undefined);
+    t.deepEqual(sender.nextReports(60_000), []);
+});
--- a/packages/endivebridge-traffic/src/Members.ts
+++ b/packages/endivebridge-traffic/src/Members.ts
@@ -25,6 +25,8 @@
     readonly hasStoreMillis: number | undefined;
     /** Version of the newest change applied from each table of the store. */
     readonly tableVersions: Readonly<Record<string, number>>;
+    /** Names of known members from which the instance has no recent report. */
+    readonly silentMembers?: readonly string[] | undefined;
 }
 
 interface Member {
@@ -32,17 +34,19 @@
     incarnation: string;
     sequence: number;
     isReady: boolean;
+    addedAtMillis: number;
     lastReportAtMillis: number | undefined;
     inFlight: Readonly<Record<string, number>>;
     awayShares: Readonly<Record<string, number>>;
     hasStoreMillis: number | undefined;
     tableVersions: Readonly<Record<string, number>>;
+    silentMembers?: readonly string[] | undefined;
 }
 
 /** Membership list of the other instances known to this one. */
 export interface Members {
     /** Adds a member's address; the member counts as live only after its first report. */
-    readonly addMember: (record: MemberRecord) => void;
+    readonly addMember: (record: MemberRecord, nowMillis: number) => void;
     /** Stores a report; false for this instance's own or if one of the same incarnation is as new or newer. */
     readonly recordReport: (report: MemberReport, nowMillis: number) => boolean;
     /** Records of all members; the same array until a member is added or its record changes. */
@@ -51,6 +55,13 @@
     readonly ready: (nowMillis: number) => readonly MemberRecord[];
     /** Members with a report within the liveness timeout, ready or not. */
     readonly live: (nowMillis: number) => readonly MemberRecord[];
+    /** Members that are not live. */
+    readonly silent: (nowMillis: number) => readonly MemberRecord[];
+    /**
+     * Members that may still send requests: all but those that neither this instance nor, by their reports, any live
+     * member has heard for a long time.
+     */
+    readonly possiblyRunning: (nowMillis: number) => readonly MemberRecord[];
     /** Sum of requests in flight by backend server, over live members; the same map, updated by later reports. */
     readonly inFlight: (nowMillis: number) => ReadonlyMap<string, number>;
     /** Whether a live member has reached the platform's store for at least this long. */
@@ -59,6 +70,9 @@
     readonly meanAwayShare: (region: string, service: string, nowMillis: number) => number | undefined;
 }
 
+/** Silence after which a member that no live member hears counts as ended. */
+const endedAfterMillis = 20_000;
+
 /** Time for which a member counts as live after its last report, given the number of known members. */
 export type LivenessTimeoutMillis = (record: MemberRecord, memberCount: number) => number;
 
@@ -103,11 +117,17 @@
         member.lastReportAtMillis !== undefined
         && nowMillis - member.lastReportAtMillis <= livenessTimeoutMillis(member.record, members.size);
 
+    const isHeardByPeers = ({ record }: Member, nowMillis: number): boolean =>
+        [...members.values()].some(peer =>
+            isLive(peer, nowMillis) && peer.silentMembers !== undefined
+            && !peer.silentMembers.includes(record.name)
+        );
+
     const recordsWhere = (predicate: (member: Member) => boolean): readonly MemberRecord[] =>
         [...members.values()].filter(predicate).map(member => member.record);
 
     return {
-        addMember: record => {
+        addMember: (record, nowMillis) => {
             if (record.name === ownName) {
                 return;
             }
@@ -119,6 +139,7 @@
                     incarnation: "",
                     sequence: -1,
                     isReady: false,
+                    addedAtMillis: nowMillis,
                     lastReportAtMillis: undefined,
                     inFlight: {},
                     awayShares: {},
@@ -143,13 +164,19 @@
             if (member === undefined || !isSameRecord(member.record, record)) {
                 cachedRecords = undefined;
             }
-            members.set(record.name, { ...report, lastReportAtMillis: nowMillis });
+            members.set(record.name, { ...report, addedAtMillis: nowMillis, lastReportAtMillis: nowMillis });
             countInFlight(record.name, report.inFlight);
             return true;
         },
         allRecords: () => cachedRecords ??= recordsWhere(() => true),
         ready: nowMillis => recordsWhere(member => member.isReady && isLive(member, nowMillis)),
         live: nowMillis => recordsWhere(member => isLive(member, nowMillis)),
+        silent: nowMillis => recordsWhere(member => !isLive(member, nowMillis)),
+        possiblyRunning: nowMillis =>
+            recordsWhere(member =>
+                nowMillis - (member.lastReportAtMillis ?? member.addedAtMillis) <= endedAfterMillis
+                || isHeardByPeers(member, nowMillis)
+            ),
         inFlight: nowMillis => {
             for (const name of countedInFlight.keys()) {
                 if (!isLive(members.get(name)!, nowMillis)) {
--- a/packages/endivebridge-traffic/src/Placement.ts
+++ b/packages/endivebridge-traffic/src/Placement.ts
@@ -1,7 +1,7 @@
 import type { Route, Service } from "./Configuration";
 import { hashText, mixHashes } from "./Hash";
 import type { RegionBalance } from "./RegionBalance";
-import type { ServerPool, TrackedServer } from "./ServerPool";
+import type { BackendServer, ServerPool, TrackedServer } from "./ServerPool";
 import type { ServiceTimeEstimates } from "./ServiceTimeEstimates";
 
 /** A request that needs a backend server. */
@@ -16,6 +16,8 @@
     readonly waitedShare: number;
     /** False after the first placement attempt, so that the request counts once towards the share of other regions. */
     readonly isFirstAttempt: boolean;
+    /** Latest time to send the request so that its answer still reaches the caller. */
+    readonly latestSendMillis: number;
 }
 
 /** Backend server chosen for a request, with its expected latency. */
@@ -27,8 +29,11 @@
     readonly expectedMillis: number;
 }
 
-/** Reason why no server was chosen: none is usable, or none can accept the request now. */
-export type Unplaced = "no servers" | "all busy";
+/**
+ * Reason why no server was chosen: none is usable, none can accept the request now, or the rate limits of all of them
+ * allow no send before the request's latest send time.
+ */
+export type Unplaced = "no servers" | "all busy" | "rate limited";
 
 /** Location of the instance and its current view of servers, regions and load. */
 export interface PlacementView {
@@ -41,6 +46,8 @@
     readonly roundTripMillis: (region: string) => number;
     /** Number of instances that share the rate of a cold server in the failure domain; 0 if this one may not use it. */
     readonly coldRateSharerCount: (failureDomain: string) => number;
+    /** Requests per second that this instance may send to a server with the given rate limit. */
+    readonly rateLimitShare: (requestsPerSecond: number, server: BackendServer) => number;
     readonly estimates: ServiceTimeEstimates;
     readonly balance: RegionBalance;
     /** Random number in [0, 1) that selects the region of requests without a key. */
@@ -52,6 +59,8 @@
     readonly choose: (request: PlacementRequest, nowMillis: number) => Placed | Unplaced;
     /** Whether a server that was chosen before can also receive a hedge of the request. */
     readonly canHedge: (placed: Placed, nowMillis: number) => boolean;
+    /** Takes a slot and the rate tokens of a server for one send; the slot is released by the caller. */
+    readonly reserve: (placed: Placed, nowMillis: number) => void;
 }
 
 /** Cost of a round trip to another failure domain of the region; above its duration, since the bandwidth is scarce. */
@@ -123,6 +132,14 @@
         return sharers === 0 || !coldRateLimiter.hasToken(rate / sharers, nowMillis);
     };
 
+    /** Time until this instance may send to a server with a rate limit; 0 for servers without one. */
+    const rateLimitWaitMillis = ({ server, rateLimit }: TrackedServer, nowMillis: number): number => {
+        const requestsPerSecond = rateLimit.requestsPerSecond(nowMillis);
+        return requestsPerSecond === undefined
+            ? 0
+            : rateLimit.waitMillis(view.rateLimitShare(requestsPerSecond, server), nowMillis);
+    };
+
     const costMillis = (request: PlacementRequest, tracked: TrackedServer, rank: number, nowMillis: number): number => {
         const slowness = currentSlowness(tracked, nowMillis);
         const workMillis = view.estimates.estimateMillis(request.route, rank)
@@ -151,7 +168,10 @@
             : undefined;
     };
 
-    /** Cheaper of a key's first two servers; a busy server keeps its rank, a rate-limited cold one is left out. */
+    /**
+     * Cheaper of a key's first two servers. A busy server keeps its rank; one at its rate limit is left out, at first in
+     * favour of servers without a limit only, since other servers with a limit need theirs for their own keys.
+     */
     const cheapestForKey = (
         request: PlacementRequest,
         keyHash: number,
@@ -162,10 +182,18 @@
         const canUseSecond = request.waitedShare >= secondServerWaitShare;
         let first: TrackedServer | undefined;
         let second: TrackedServer | undefined;
+        let firstRank = 0;
         for (const tracked of region.serversOfKey(keyHash)) {
             if (!isUsable(tracked, request, nowMillis) || isRefusedByColdLimit(tracked, nowMillis)) {
                 continue;
             }
+            const isLeftToOtherKeys = firstRank > 0 && !canUseSecond
+                && tracked.rateLimit.requestsPerSecond(nowMillis) !== undefined;
+            if (isLeftToOtherKeys || rateLimitWaitMillis(tracked, nowMillis) > 0) {
+                // The key's own server is usable, so the next one is not warm for the key.
+                firstRank = 1;
+                continue;
+            }
             if (first !== undefined) {
                 second = tracked;
                 break;
@@ -175,7 +203,9 @@
                 break;
             }
         }
-        const firstPlaced = first === undefined ? undefined : tryPlaceOn(request, first, 0, isOverflow, nowMillis);
+        const firstPlaced = first === undefined
+            ? undefined
+            : tryPlaceOn(request, first, firstRank, isOverflow, nowMillis);
         return second === undefined
             ? firstPlaced
             : cheaperOf(firstPlaced, tryPlaceOn(request, second, 1, isOverflow, nowMillis));
@@ -189,7 +219,10 @@
     ): Placed | undefined => {
         let best: Placed | undefined;
         for (const tracked of servers) {
-            if (isUsable(tracked, request, nowMillis) && !isRefusedByColdLimit(tracked, nowMillis)) {
+            if (
+                isUsable(tracked, request, nowMillis) && !isRefusedByColdLimit(tracked, nowMillis)
+                && rateLimitWaitMillis(tracked, nowMillis) === 0
+            ) {
                 best = cheaperOf(best, tryPlaceOn(request, tracked, 0, isOverflow, nowMillis));
             }
         }
@@ -269,11 +302,28 @@
                     overflow = cheaperOf(overflow, cheapestIn(request, region, true, nowMillis));
                 }
             }
-            return overflow !== undefined && view.balance.tryOverflow() ? overflow : "all busy";
+            if (overflow !== undefined && view.balance.tryOverflow()) {
+                return overflow;
+            }
+            const isRateLimited = (tracked: TrackedServer) =>
+                !isUsable(tracked, request, nowMillis)
+                || nowMillis + rateLimitWaitMillis(tracked, nowMillis) > request.latestSendMillis;
+            return regions.every(({ servers }) => servers.every(isRateLimited)) ? "rate limited" : "all busy";
         },
         canHedge: ({ tracked, isRemote }, nowMillis) =>
             acceptsRequests(tracked, nowMillis) && tracked.coldUntilMillis <= nowMillis
-            && hasFreeSlot(tracked, isRemote)
+            && rateLimitWaitMillis(tracked, nowMillis) === 0
+            && hasFreeSlot(tracked, isRemote),
+        reserve: ({ tracked }, nowMillis) => {
+            tracked.ownInFlight += 1;
+            tracked.recentSends.add(nowMillis);
+            if (tracked.coldUntilMillis > nowMillis) {
+                tracked.coldRateLimiter.consumeToken();
+            }
+            if (tracked.rateLimit.requestsPerSecond(nowMillis) !== undefined) {
+                tracked.rateLimit.consumeToken();
+            }
+        }
     };
 }
 
--- a/packages/endivebridge-traffic/src/RequestQueue.ts
+++ b/packages/endivebridge-traffic/src/RequestQueue.ts
@@ -1,7 +1,7 @@
 import { makeSlidingCount, type SlidingCount } from "./SlidingCount";
 
 /** Reason for refusing a request before it was sent to any backend server. */
-export type RefusalReason = "no servers" | "overloaded" | "waited too long";
+export type RefusalReason = "no servers" | "overloaded" | "rate limited" | "waited too long";
 
 /** A request that may have to wait for a backend server. */
 export interface Waiter {
@@ -16,6 +16,8 @@
     readonly latestSendMillis: number;
     /** Tries to send the request to a backend server; true if it was sent. */
     readonly tryPlace: (nowMillis: number) => boolean;
+    /** Whether rate limits would let a server accept the request in time, as of the last try to place it. */
+    readonly isWithinRateLimits: () => boolean;
     /** Called once if the request is refused, with the delay before a retry. */
     readonly refuse: (reason: RefusalReason, retryAfterMillis: number) => void;
 }
@@ -133,12 +135,13 @@
         }
         // Requests that became late are now last; the queue ahead of them may be too long.
         line.waiters.filter((waiter, index) =>
-            waiter.latestSendMillis <= nowMillis
+            waiter.latestSendMillis <= nowMillis || !waiter.isWithinRateLimits()
             || (waiter.latestOnTimeSendMillis < nowMillis
                 && nowMillis + forecastWaitMillis(line, index, nowMillis) > waiter.latestSendMillis)
         ).forEach(waiter => {
             if (remove(line, waiter)) {
-                waiter.refuse("waited too long", computeRetryAfterMillis(line, nowMillis));
+                const reason = waiter.isWithinRateLimits() ? "waited too long" : "rate limited";
+                waiter.refuse(reason, computeRetryAfterMillis(line, nowMillis));
             }
         });
         updateWaitingSince(line, nowMillis);
@@ -151,6 +154,10 @@
             if (tryPlaceAndCount(line, waiter, nowMillis)) {
                 return;
             }
+            if (!waiter.isWithinRateLimits()) {
+                waiter.refuse("rate limited", computeRetryAfterMillis(line, nowMillis));
+                return;
+            }
             const position = line.waiters.findIndex(other => isBefore(waiter, other, nowMillis));
             const ahead = position < 0 ? line.waiters.length : position;
             if (nowMillis + forecastWaitMillis(line, ahead, nowMillis) > waiter.latestSendMillis) {
--- a/packages/endivebridge-traffic/src/ServerPool.ts
+++ b/packages/endivebridge-traffic/src/ServerPool.ts
@@ -1,6 +1,6 @@
-import { type ColdRateLimiter, makeColdRateLimiter } from "./ColdRateLimiter";
 import { hashText } from "./Hash";
-import { makeReportedRateLimit, type ReportedRateLimit } from "./ReportedRateLimit";
+import { makeServerRateLimit, type ServerRateLimit } from "./ServerRateLimit";
+import { makeSingleTokenBucket, type SingleTokenBucket } from "./SingleTokenBucket";
 import { makeSlidingCount, type SlidingCount } from "./SlidingCount";
 
 /** Description of a backend server, reported by the server or by the platform. */
@@ -23,8 +23,8 @@
 export interface TrackedServer {
     server: BackendServer;
     readonly hash: number;
-    readonly coldRateLimiter: ColdRateLimiter;
-    readonly rateLimit: ReportedRateLimit;
+    readonly coldRateLimiter: SingleTokenBucket;
+    readonly rateLimit: ServerRateLimit;
     /** Sends of this instance in the last `recentSendsMillis`. */
     readonly recentSends: SlidingCount;
     ownInFlight: number;
@@ -82,8 +82,8 @@
     const makeTrackedServer = (server: BackendServer, nowMillis: number): TrackedServer => ({
         server,
         hash: hashText(server.id),
-        coldRateLimiter: makeColdRateLimiter(nowMillis),
-        rateLimit: makeReportedRateLimit(nowMillis),
+        coldRateLimiter: makeSingleTokenBucket(nowMillis),
+        rateLimit: makeServerRateLimit(nowMillis),
         recentSends: makeSlidingCount(recentSendsMillis),
         ownInFlight: 0,
         peersInFlight: 0,
--- a/packages/endivebridge-traffic/src/__tests__/unit/Hedging.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Hedging.test.ts
@@ -46,7 +46,8 @@
         keyHash: 7,
         triedServers: new Set(),
         waitedShare: 0,
-        isFirstAttempt: true
+        isFirstAttempt: true,
+        latestSendMillis: Infinity
     }, 0) as Placed;
     const tracked = pool.get("s1")!;
     t.true(placement.canHedge(chosen, 0));
--- a/packages/endivebridge-traffic/src/__tests__/unit/Placement.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Placement.test.ts
@@ -14,6 +14,7 @@
     triedServers: new Set(),
     waitedShare: 0,
     isFirstAttempt: true,
+    latestSendMillis: Infinity,
     ...changes
 });
 
--- /dev/null
+++ b/packages/endivebridge-traffic/src/__tests__/unit/RateLimits.test.ts
@@ -0,0 +1,120 @@
+import { range } from "@endivebridge/shared";
+import test from "ava";
+import fc from "fast-check";
+import { computeRateLimitShare, hashText, makeServerRateLimit, type Placed, type RateLimitSharer } from "../../index";
+import { makePlacementSample, route } from "./Samples";
+
+// Guards against instances that keep a server's rate limit each for itself, so that all together exceed it.
+
+const windowMillis = 4_000;
+const regions = ["fraser", "kootenay", "northcoast"];
+
+function makeSharers(count: number): readonly RateLimitSharer[] {
+    return range(count).map(index => ({ name: `edge-${index}`, region: regions[index % regions.length]! }));
+}
+
+/** Requests per second that the limit permits in any window, as callers of the server count them. */
+function allowedInWindow(requestsPerSecond: number): number {
+    return requestsPerSecond * 1.5 * windowMillis / 1_000 + 5;
+}
+
+function largestWindowCount(atMillis: readonly number[]): number {
+    return Math.max(
+        0,
+        ...atMillis.map(start => atMillis.filter(at => at >= start && at < start + windowMillis).length)
+    );
+}
+
+test("the shares of all instances add up to a server's rate limit", t => {
+    fc.assert(
+        fc.property(
+            fc.integer({ min: 1, max: 80 }),
+            fc.double({ min: 0.1, max: 50, noNaN: true }),
+            fc.constantFrom(...regions, "elsewhere"),
+            (count, requestsPerSecond, region) => {
+                const sharers = makeSharers(count);
+                const sum = sharers
+                    .map(own => {
+                        const others = sharers.filter(other => other !== own);
+                        return computeRateLimitShare(own, others, { id: "s1", region }, requestsPerSecond);
+                    })
+                    .reduce((total, share) => total + share, 0);
+                const isServedFromElsewhere = region === "elsewhere" || (count < 3 && region !== "fraser");
+                return sum <= requestsPerSecond * (1 + 1e-9)
+                    && (isServedFromElsewhere || sum >= requestsPerSecond * 0.79);
+            }
+        )
+    );
+    t.pass();
+});
+
+for (const instanceCount of [1, 12, 65]) {
+    test(`${instanceCount} instances with more requests than rate limits allow exceed none of them`, t => {
+        const limits = [0.4, 1, 1.8, 3, 7];
+        const servers = range(limits.length).map(index => ({ id: `s${index}` }));
+        const sharers = makeSharers(instanceCount);
+        const samples = sharers.map(own =>
+            makePlacementSample(servers, {
+                region: own.region,
+                rateLimitShare: (requestsPerSecond, server) =>
+                    computeRateLimitShare(own, sharers.filter(other => other !== own), server, requestsPerSecond)
+            })
+        );
+        for (const { pool } of samples) {
+            limits.forEach((requestsPerSecond, index) =>
+                pool.get(`s${index}`)!.rateLimit.record({ requestsPerSecond, atMillis: 0 }, 0)
+            );
+        }
+        const sendsMillis = new Map<string, number[]>();
+        for (let nowMillis = 0; nowMillis < 30_000; nowMillis += 20) {
+            for (const { placement } of samples) {
+                const chosen = placement.choose({
+                    route: route({}),
+                    service: "desk",
+                    keyHash: hashText(`key ${nowMillis % 700}`),
+                    triedServers: new Set(),
+                    waitedShare: 1,
+                    isFirstAttempt: true,
+                    latestSendMillis: nowMillis + 1_000
+                }, nowMillis);
+                if (typeof chosen !== "string") {
+                    placement.reserve(chosen, nowMillis);
+                    chosen.tracked.ownInFlight -= 1;
+                    const { id } = chosen.tracked.server;
+                    sendsMillis.set(id, [...sendsMillis.get(id) ?? [], nowMillis]);
+                }
+            }
+        }
+        limits.forEach((requestsPerSecond, index) => {
+            const sends = sendsMillis.get(`s${index}`) ?? [];
+            t.true(
+                largestWindowCount(sends) <= allowedInWindow(requestsPerSecond),
+                `${largestWindowCount(sends)} in four seconds at a limit of ${requestsPerSecond}`
+            );
+            t.true(sends.length >= requestsPerSecond * 30 * 0.7, `${sends.length} at ${requestsPerSecond} a second`);
+        });
+    });
+}
+
+test("a hedge is sent only within the rate limit of its server", t => {
+    const { pool, placement } = makePlacementSample([{ id: "s1" }]);
+    pool.get("s1")!.rateLimit.record({ requestsPerSecond: 1, atMillis: 0 }, 0);
+    const placed: Placed = { tracked: pool.get("s1")!, rank: 0, isRemote: false, expectedMillis: 100 };
+    t.true(placement.canHedge(placed, 1_000));
+    placement.reserve(placed, 1_000);
+    t.false(placement.canHedge(placed, 1_900));
+    t.true(placement.canHedge(placed, 2_000));
+});
+
+test("a rate limit holds until a request sent after the last answer with a limit is answered without one", t => {
+    const limit = makeServerRateLimit(0);
+    t.true(limit.record({ requestsPerSecond: 3, atMillis: 1_000 }, 1_000));
+    t.false(limit.record({ requestsPerSecond: undefined, atMillis: 900 }, 1_100), "answers in another order");
+    t.is(limit.requestsPerSecond(1_100), 3);
+    t.true(limit.record({ requestsPerSecond: 2, atMillis: 1_200 }, 1_200));
+    t.true(limit.record({ requestsPerSecond: undefined, atMillis: 1_300 }, 1_400));
+    t.is(limit.requestsPerSecond(1_400), undefined);
+    t.false(limit.record({ requestsPerSecond: 2, atMillis: 1_250 }, 1_500), "a peer's report from before");
+    t.true(limit.record({ requestsPerSecond: 2, atMillis: 1_500 }, 1_500));
+    t.is(limit.requestsPerSecond(40_000), undefined, "no answer for a long time");
+});
--- a/packages/endivebridge-traffic/src/__tests__/unit/RequestQueue.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/RequestQueue.test.ts
@@ -58,6 +58,7 @@
                 outcome.placedAtMillis = at;
                 return true;
             },
+            isWithinRateLimits: () => true,
             refuse: (reason, retryAfterMillis) => {
                 outcome.reason = reason;
                 outcome.refusedAtMillis = nowMillis;
@@ -155,6 +156,7 @@
             latestSendMillis: 900,
             wasPlaced: false,
             tryPlace: () => made.wasPlaced = placeable,
+            isWithinRateLimits: () => true,
             refuse: () => t.fail()
         };
         return made;
--- a/packages/endivebridge-traffic/src/__tests__/unit/Samples.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Samples.ts
@@ -87,6 +87,7 @@
         isEvacuated: failureDomain => evacuated.has(failureDomain),
         roundTripMillis: () => 110,
         coldRateSharerCount: () => 1,
+        rateLimitShare: requestsPerSecond => requestsPerSecond,
         estimates: makeServiceTimeEstimates(),
         balance,
         random: () => 0.5,
--- a/packages/endivebridge-traffic/src/__tests__/unit/Traffic.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Traffic.test.ts
@@ -1,10 +1,10 @@
 import test from "ava";
 import fc from "fast-check";
 import {
-    makeColdRateLimiter,
     makeMembers,
     makeRetryBudget,
     makeRouteTable,
+    makeSingleTokenBucket,
     makeTrafficSplit,
     type MemberReport,
     type Route
@@ -92,7 +92,7 @@
                 fc.integer({ min: 1, max: 9 }),
                 fc.array(fc.nat({ max: 8 }), { maxLength: 800 }),
                 (sharers, which) => {
-                    const limits = Array.from({ length: sharers }, () => makeColdRateLimiter(0));
+                    const limits = Array.from({ length: sharers }, () => makeSingleTokenBucket(0));
                     const taken: number[] = [];
                     which.forEach((index, step) => {
                         const nowMillis = step * 5;
@@ -132,7 +132,7 @@
 
 test("counts a member as live only while it reports and ignores old reports of an incarnation", t => {
     const members = makeMembers("self", () => 1_000);
-    members.addMember(report("a", {}).record);
+    members.addMember(report("a", {}).record, 0);
     t.deepEqual(members.live(0), [], "no report yet");
     t.true(members.recordReport(report("a", { sequence: 2, inFlight: { s1: 3 } }), 100));
     t.false(members.recordReport(report("a", { sequence: 1, inFlight: { s1: 9 } }), 200));
--- a/packages/endivebridge-traffic/src/index.ts
+++ b/packages/endivebridge-traffic/src/index.ts
@@ -1,5 +1,4 @@
 export { type AttemptAgeEstimator, makeAttemptAgeEstimator } from "./AttemptAgeEstimator";
-export { type ColdRateLimiter, makeColdRateLimiter } from "./ColdRateLimiter";
 export type { CallerLimits, Route, RouteTarget, Service, TrafficConfiguration } from "./Configuration";
 export { hashText, mixHashes } from "./Hash";
 export { type Hedging, makeHedging } from "./Hedging";
@@ -13,12 +12,19 @@
     type PlacementView,
     type Unplaced
 } from "./Placement";
+export { computeRateLimitShare, type RateLimitSharer } from "./RateLimitShare";
 export { initialShareFactor, makeRegionBalance, type RegionBalance, type ServiceUse } from "./RegionBalance";
-export { makeReportedRateLimit, type RateLimitObservation, type ReportedRateLimit } from "./ReportedRateLimit";
 export { makeRequestQueue, type RefusalReason, type RequestQueue, type Waiter } from "./RequestQueue";
 export { makeRetryBudget, type RetryBudget, type RetryBudgetLimits } from "./RetryBudget";
 export { makeRouteTable, type RouteTable } from "./RouteTable";
 export { type BackendServer, makeServerPool, type ServerPool, type TrackedServer } from "./ServerPool";
+export {
+    makeServerRateLimit,
+    rateLimitExpiryMillis,
+    type RateLimitObservation,
+    type ServerRateLimit
+} from "./ServerRateLimit";
 export { makeServiceTimeEstimates, type ServiceTimeEstimates } from "./ServiceTimeEstimates";
+export { makeSingleTokenBucket, type SingleTokenBucket } from "./SingleTokenBucket";
 export { makeSlidingCount, type SlidingCount } from "./SlidingCount";
 export { makeTrafficSplit, type TrafficSplit } from "./TrafficSplit";
