Placement: weigh keys by what servers with a rate limit accept

With limits kept, keys of limited servers went to any server with a token, which made all caches cold: 67 of 100 sends to limited servers and 109 of 176 to servers without one were for keys of others, and work on the latter took 0.29 s instead of 0.15 s.

Rendezvous order is now weighted by the part of its usual rate that a server accepts, in steps of two, so that most keys have a home at a server without a limit; a key uses its first two servers and a stand-in, the same from every instance, only while both are at their limits.

--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -2,6 +2,7 @@
 import { monotonicMillis, type Teardown } from "@endivebridge/shared";
 import {
     type BackendServer,
+    initialEstimateMillis,
     makeAttemptAgeEstimator,
     makeHedging,
     makeMembers,
@@ -14,6 +15,7 @@
     makeTrafficSplit,
     type MemberRecord,
     type RetryBudgetLimits,
+    type Route,
     type TrafficConfiguration
 } from "@endivebridge/traffic";
 import { randomBytes } from "node:crypto";
@@ -142,6 +144,15 @@
 
     const service = (name: string) => beliefs.inForce()?.configuration.services.get(name);
 
+    /** Mean of a time over the routes to a service; infinite for a service without routes, which has no traffic. */
+    const meanOverRoutes = (name: string, millisOf: (route: Route) => number): number => {
+        const routes = (beliefs.inForce()?.configuration.routes ?? [])
+            .filter(({ targets }) => targets.some(target => target.service === name));
+        return routes.length === 0
+            ? Infinity
+            : routes.reduce((sum, route) => sum + millisOf(route), 0) / routes.length;
+    };
+
     const coldRateSharerCount = makeColdSharers(own, members, startedMillis);
 
     const rateLimitShare = makeRateLimitShares(own, members, startedMillis);
@@ -157,6 +168,7 @@
         coldRateSharerCount,
         rateLimitShare,
         estimates,
+        usualWorkMillis: name => meanOverRoutes(name, initialEstimateMillis),
         balance,
         random: Math.random
     });
@@ -264,14 +276,7 @@
                 !tracked.server.isLeaving && !beliefs.isEvacuated(tracked.server.failureDomain)
             ),
         roundTripMillis: otherRegionRoundTripMillis,
-        objectiveMillis: name => {
-            const routes = (beliefs.inForce()?.configuration.routes ?? [])
-                .filter(({ targets }) => targets.some(target => target.service === name));
-            // A service without routes has no traffic to shift.
-            return routes.length === 0
-                ? Infinity
-                : routes.reduce((sum, route) => sum + route.objectiveMillis, 0) / routes.length;
-        },
+        objectiveMillis: name => meanOverRoutes(name, route => route.objectiveMillis),
         members,
         balance
     });
--- a/packages/endivebridge-traffic/src/Placement.ts
+++ b/packages/endivebridge-traffic/src/Placement.ts
@@ -49,6 +49,8 @@
     /** Requests per second that this instance may send to a server with the given rate limit. */
     readonly rateLimitShare: (requestsPerSecond: number, server: BackendServer) => number;
     readonly estimates: ServiceTimeEstimates;
+    /** Mean time that a server takes for a request of the service; the same at all instances. */
+    readonly usualWorkMillis: (service: string) => number;
     readonly balance: RegionBalance;
     /** Random number in [0, 1) that selects the region of requests without a key. */
     readonly random: () => number;
@@ -78,6 +80,10 @@
  * load, spreading keys would make all caches cold, which alone would sustain the overload.
  */
 const secondServerWaitShare = 0.25;
+/** Weight of a server with a rate limit near 0, which still gets some keys. */
+const minKeyWeight = 1 / 32;
+/** Interval at which the weights of servers are computed anew. */
+const weighIntervalMillis = 500;
 /** Limit on the keys per region whose order of servers is cached. */
 const maxCachedKeys = 1_000;
 /** Salt that makes the keys sent to other regions independent of the choice of server. */
@@ -169,8 +175,8 @@
     };
 
     /**
-     * Cheaper of a key's first two servers. A busy server keeps its rank; one at its rate limit is left out, at first in
-     * favour of servers without a limit only, since other servers with a limit need theirs for their own keys.
+     * Cheaper of a key's first two servers; a busy server keeps its rank, a rate-limited cold one is left out. If both
+     * are at their rate limits, the next server without a limit stands in, the same for the key at every instance.
      */
     const cheapestForKey = (
         request: PlacementRequest,
@@ -179,36 +185,41 @@
         isOverflow: boolean,
         nowMillis: number
     ): Placed | undefined => {
-        const canUseSecond = request.waitedShare >= secondServerWaitShare;
-        let first: TrackedServer | undefined;
-        let second: TrackedServer | undefined;
-        let firstRank = 0;
-        for (const tracked of region.serversOfKey(keyHash)) {
-            if (!isUsable(tracked, request, nowMillis) || isRefusedByColdLimit(tracked, nowMillis)) {
-                continue;
-            }
-            const isLeftToOtherKeys = firstRank > 0 && !canUseSecond
-                && tracked.rateLimit.requestsPerSecond(nowMillis) !== undefined;
-            if (isLeftToOtherKeys || rateLimitWaitMillis(tracked, nowMillis) > 0) {
-                // The key's own server is usable, so the next one is not warm for the key.
-                firstRank = 1;
-                continue;
-            }
-            if (first !== undefined) {
-                second = tracked;
-                break;
-            }
-            first = tracked;
-            if (!canUseSecond) {
-                break;
+        const order = region.serversOfKey(keyHash);
+        const findFrom = (start: number, predicate: (tracked: TrackedServer) => boolean): number => {
+            let index = start;
+            while (index < order.length && !predicate(order[index]!)) {
+                index += 1;
             }
+            return index;
+        };
+        const isEligible = (tracked: TrackedServer) =>
+            isUsable(tracked, request, nowMillis) && !isRefusedByColdLimit(tracked, nowMillis);
+        const isAtLimit = (tracked: TrackedServer) => rateLimitWaitMillis(tracked, nowMillis) > 0;
+
+        const firstIndex = findFrom(0, isEligible);
+        const first = order[firstIndex];
+        if (first === undefined) {
+            return undefined;
+        }
+        const isFirstAtLimit = isAtLimit(first);
+        const firstPlaced = isFirstAtLimit ? undefined : tryPlaceOn(request, first, 0, isOverflow, nowMillis);
+        if (!isFirstAtLimit && request.waitedShare < secondServerWaitShare) {
+            return firstPlaced;
         }
-        const firstPlaced = first === undefined
-            ? undefined
-            : tryPlaceOn(request, first, firstRank, isOverflow, nowMillis);
-        return second === undefined
-            ? firstPlaced
-            : cheaperOf(firstPlaced, tryPlaceOn(request, second, 1, isOverflow, nowMillis));
+        const secondIndex = findFrom(firstIndex + 1, isEligible);
+        const second = order[secondIndex];
+        if (second !== undefined && !isAtLimit(second)) {
+            return cheaperOf(firstPlaced, tryPlaceOn(request, second, 1, isOverflow, nowMillis));
+        }
+        if (!isFirstAtLimit) {
+            return firstPlaced;
+        }
+        const isOpen = (tracked: TrackedServer) => isEligible(tracked) && !isAtLimit(tracked);
+        const hasLimit = ({ rateLimit }: TrackedServer) => rateLimit.requestsPerSecond(nowMillis) !== undefined;
+        const standIn = order[findFrom(secondIndex + 1, tracked => !hasLimit(tracked) && isOpen(tracked))]
+            ?? order[findFrom(secondIndex + 1, isOpen)];
+        return standIn === undefined ? undefined : tryPlaceOn(request, standIn, 1, isOverflow, nowMillis);
     };
 
     const cheapestOfAll = (
@@ -239,17 +250,38 @@
             ? cheapestOfAll(request, region.servers, isOverflow, nowMillis)
             : cheapestForKey(request, request.keyHash, region, isOverflow, nowMillis);
 
-    const layoutCache = new Map<string, { readonly servers: readonly TrackedServer[]; readonly layout: Layout; }>();
+    const layoutCache = new Map<string, CachedLayout>();
 
-    /** Servers of a service grouped by region; cached until the pool's list changes. */
-    const layoutOf = (service: string): Layout => {
+    /**
+     * Part of the requests that a server without a rate limit could take which this one accepts. In steps of a factor of
+     * two, so that all instances use the same weights and keys stay in place while limits change a little.
+     */
+    const keyWeight = (
+        { server, rateLimit }: TrackedServer,
+        usualWorkMillis: number,
+        nowMillis: number
+    ): number => {
+        const requestsPerSecond = rateLimit.requestsPerSecond(nowMillis);
+        if (requestsPerSecond === undefined) {
+            return 1;
+        }
+        const usualPerSecond = server.slots * 1_000 / usualWorkMillis;
+        return 2 ** Math.round(Math.log2(Math.max(minKeyWeight, Math.min(1, requestsPerSecond / usualPerSecond))));
+    };
+
+    /** Servers of a service grouped by region; cached until the pool's list or a weight changes. */
+    const layoutOf = (service: string, nowMillis: number): Layout => {
         const servers = view.pool.ofService(service);
         const cached = layoutCache.get(service);
-        if (cached?.servers === servers) {
+        if (cached?.servers === servers && nowMillis - cached.weighedAtMillis < weighIntervalMillis) {
             return cached.layout;
         }
-        const layout = makeLayout(servers);
-        layoutCache.set(service, { servers, layout });
+        const usualWorkMillis = view.usualWorkMillis(service);
+        const weights = servers.map(tracked => keyWeight(tracked, usualWorkMillis, nowMillis));
+        const isUnchanged = cached?.servers === servers
+            && weights.every((weight, index) => weight === cached.weights[index]);
+        const layout = isUnchanged ? cached.layout : makeLayout(servers, weights);
+        layoutCache.set(service, { servers, weights, weighedAtMillis: nowMillis, layout });
         return layout;
     };
 
@@ -277,7 +309,7 @@
     return {
         choose: (request, nowMillis) => {
             const { homeRegions } = request.route;
-            const regions = layoutOf(request.service).filter(({ region, servers }) =>
+            const regions = layoutOf(request.service, nowMillis).filter(({ region, servers }) =>
                 (homeRegions.length === 0 || homeRegions.includes(region))
                 && servers.some(tracked => isUsable(tracked, request, nowMillis))
             );
@@ -344,6 +376,13 @@
 
 type Layout = readonly RegionServers[];
 
+interface CachedLayout {
+    readonly servers: readonly TrackedServer[];
+    readonly weights: readonly number[];
+    readonly weighedAtMillis: number;
+    readonly layout: Layout;
+}
+
 function groupBy<Key, Value>(values: readonly Value[], keyOf: (value: Value) => Key): Map<Key, Value[]> {
     const groups = new Map<Key, Value[]>();
     for (const value of values) {
@@ -358,24 +397,31 @@
     return groups;
 }
 
-function makeLayout(servers: readonly TrackedServer[]): Layout {
+function makeLayout(servers: readonly TrackedServer[], weights: readonly number[]): Layout {
+    const weightOf = new Map(servers.map((tracked, index) => [tracked, weights[index]!]));
     return [...groupBy(servers, tracked => tracked.server.region)].map(([region, inRegion]) => ({
         region,
         regionHash: hashText(region),
         servers: inRegion,
-        serversOfKey: makeRendezvousOrders(inRegion)
+        serversOfKey: makeRendezvousOrders(inRegion, tracked => weightOf.get(tracked) ?? 1)
     }));
 }
 
-/** Rendezvous orders of a fixed list of servers, each computed once while its key is in use. */
-function makeRendezvousOrders(servers: readonly TrackedServer[]): RegionServers["serversOfKey"] {
+/** Weighted rendezvous orders of a fixed list of servers, each computed once while its key is in use. */
+function makeRendezvousOrders(
+    servers: readonly TrackedServer[],
+    weightOf: (tracked: TrackedServer) => number
+): RegionServers["serversOfKey"] {
     const orders = new Map<number, readonly TrackedServer[]>();
     return keyHash => {
         let order = orders.get(keyHash);
         if (order === undefined) {
             order = servers
-                .map(tracked => ({ tracked, weight: mixHashes(tracked.hash, keyHash) }))
-                .sort((left, right) => right.weight - left.weight)
+                .map(tracked => ({
+                    tracked,
+                    score: Math.log(toUnitInterval(mixHashes(tracked.hash, keyHash))) / weightOf(tracked)
+                }))
+                .sort((left, right) => right.score - left.score)
                 .map(({ tracked }) => tracked);
             if (orders.size >= maxCachedKeys) {
                 orders.clear();
--- a/packages/endivebridge-traffic/src/ServiceTimeEstimates.ts
+++ b/packages/endivebridge-traffic/src/ServiceTimeEstimates.ts
@@ -19,12 +19,17 @@
 /** Initial estimate before any measurement, as a share of the objective. */
 const initialObjectiveShare = 0.4;
 
+/** Service time that a route's objective suggests, the same at all instances. */
+export function initialEstimateMillis(route: Route): number {
+    return route.objectiveMillis * initialObjectiveShare;
+}
+
 /** Creates estimates that start from the routes' objectives. */
 export function makeServiceTimeEstimates(): ServiceTimeEstimates {
     const warmMillisByRoute = new Map<string, number>();
 
     const warmEstimateMillis = (route: Route): number =>
-        warmMillisByRoute.get(route.name) ?? route.objectiveMillis * initialObjectiveShare;
+        warmMillisByRoute.get(route.name) ?? initialEstimateMillis(route);
 
     return {
         estimateMillis: (route, rank) => warmEstimateMillis(route) * (rank === 0 ? 1 : secondServerFactor),
--- a/packages/endivebridge-traffic/src/__tests__/unit/RateLimits.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/RateLimits.test.ts
@@ -118,3 +118,34 @@
     t.true(limit.record({ requestsPerSecond: 2, atMillis: 1_500 }, 1_500));
     t.is(limit.requestsPerSecond(40_000), undefined, "no answer for a long time");
 });
+
+test("most keys leave a server with a low rate limit for servers without one, the same at every instance", t => {
+    const servers = range(10).map(index => ({ id: `s${index}` }));
+    const [first, second] = [makePlacementSample(servers), makePlacementSample([...servers].reverse())];
+    const placeKeys = ({ placement }: typeof first, nowMillis: number) =>
+        range(300).map(key => {
+            const chosen = placement.choose(
+                {
+                    route: route({}),
+                    service: "desk",
+                    keyHash: hashText(`key ${key}`),
+                    triedServers: new Set(),
+                    waitedShare: 0,
+                    isFirstAttempt: true,
+                    latestSendMillis: Infinity
+                },
+                nowMillis
+            ) as Placed;
+            return chosen.tracked.server.id;
+        });
+    const before = placeKeys(first, 0);
+    for (const { pool } of [first, second]) {
+        range(5).forEach(index => pool.get(`s${index}`)!.rateLimit.record({ requestsPerSecond: 5, atMillis: 0 }, 0));
+    }
+    const placed = placeKeys(first, 1_000);
+    t.deepEqual(placeKeys(second, 1_000), placed);
+    const atLimited = placed.filter(id => Number(id.slice(1)) < 5).length;
+    t.true(atLimited > 10 && atLimited < 60, `${atLimited} of 300 keys; all servers without a limit: 150`);
+    const movedBetweenUnlimited = placed.filter((id, key) => Number(before[key]!.slice(1)) >= 5 && id !== before[key]);
+    t.is(movedBetweenUnlimited.length, 0, "keys of servers without a limit stay");
+});
--- a/packages/endivebridge-traffic/src/__tests__/unit/Samples.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Samples.ts
@@ -89,6 +89,7 @@
         coldRateSharerCount: () => 1,
         rateLimitShare: requestsPerSecond => requestsPerSecond,
         estimates: makeServiceTimeEstimates(),
+        usualWorkMillis: () => 100,
         balance,
         random: () => 0.5,
         ...changes
--- a/packages/endivebridge-traffic/src/index.ts
+++ b/packages/endivebridge-traffic/src/index.ts
@@ -24,7 +24,7 @@
     type RateLimitObservation,
     type ServerRateLimit
 } from "./ServerRateLimit";
-export { makeServiceTimeEstimates, type ServiceTimeEstimates } from "./ServiceTimeEstimates";
+export { initialEstimateMillis, makeServiceTimeEstimates, type ServiceTimeEstimates } from "./ServiceTimeEstimates";
 export { makeSingleTokenBucket, type SingleTokenBucket } from "./SingleTokenBucket";
 export { makeSlidingCount, type SlidingCount } from "./SlidingCount";
 export { makeTrafficSplit, type TrafficSplit } from "./TrafficSplit";
