--- a/packages/endivebridge-gateway/src/GatewayMetrics.ts
+++ b/packages/endivebridge-gateway/src/GatewayMetrics.ts
@@ -68,6 +68,11 @@
             labelNames: ["response"],
             registers
         }),
+        storeEra: new Gauge({
+            name: "endivebridge_store_era",
+            help: "Count of the store's returns from a copy, as its answers state it",
+            registers
+        }),
         configurationVersion: new Gauge({
             name: "endivebridge_configuration_version",
             help: "Version of the configuration in force",
