Gateway: compare table versions of peers within an era only

Peers report the newest versions that they have read. Reports now carry the era. Versions of an earlier era are ignored; a later era than the own one makes the feeds call the store at once.

--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -34,6 +34,7 @@
 import { ServerConnections } from "./ServerConnections";
 import { serveSnapshots, type SnapshotSource, startSnapshotRequests } from "./SnapshotTransfer";
 import { makeStartupWait } from "./StartupWait";
+import { makeTableVersions } from "./TableVersions";
 
 /** Settings of one gateway. */
 export interface GatewaySettings {
@@ -60,9 +61,9 @@
     readonly evacuatedDomains: () => readonly string[];
     /** Records whether the platform's store is unavailable or reachable. */
     readonly setStoreUnavailable: (isUnavailable: boolean) => void;
-    /** Records the newest version read from a table of the store, which is sent to peers. */
-    readonly recordTableVersion: (table: string, version: number) => void;
-    /** Registers a listener for tables of which a peer has read a newer version than this instance. */
+    /** Records the newest version read from a table of the store and its era, which are sent to peers. */
+    readonly recordTableVersion: (table: string, version: number, era: number) => void;
+    /** Registers a listener for tables of which a peer has read a newer version or a later era than this instance. */
     readonly registerNewerTableVersionListener: (listener: (table: string, version: number) => void) => Teardown;
     /** Whether some live member has had access to the store for at least this long. */
     readonly hasMemberWithStoreAccess: (millis: number) => boolean;
@@ -120,7 +121,7 @@
     let stoppingSinceMillis: number | undefined;
     let stopEndMillis = Infinity;
     let hasStoreSinceMillis: number | undefined;
-    const tableVersions: Record<string, number> = {};
+    const tableVersions = makeTableVersions();
     const newerTableListeners = new Set<(table: string, version: number) => void>();
 
     const beliefs = makeKnownState({
@@ -292,14 +293,12 @@
             inFlight: ownInFlight(),
             awayShares: awayShares(),
             hasStoreMillis: hasStoreMillis(),
-            tableVersions
+            ...tableVersions.current()
         }),
         crashes: () => poison.quarantined(monotonicMillis()),
         onReport: report => {
-            for (const [table, version] of Object.entries(report.tableVersions)) {
-                if (version > (tableVersions[table] ?? Infinity)) {
-                    newerTableListeners.forEach(listener => listener(table, version));
-                }
+            for (const [table, version] of tableVersions.newerIn(report)) {
+                newerTableListeners.forEach(listener => listener(table, version));
             }
             const inFlightByServer = members.inFlight(monotonicMillis());
             for (const tracked of pool.all()) {
@@ -355,9 +354,7 @@
                 startupWait.releaseNow();
             }
         },
-        recordTableVersion: (table, version) => {
-            tableVersions[table] = Math.max(tableVersions[table] ?? 0, version);
-        },
+        recordTableVersion: tableVersions.record,
         registerNewerTableVersionListener: listener => {
             newerTableListeners.add(listener);
             return () => newerTableListeners.delete(listener);
--- a/packages/endivebridge-gateway/src/PeerExchange.ts
+++ b/packages/endivebridge-gateway/src/PeerExchange.ts
@@ -24,6 +24,7 @@
     awayShares: record(string, number),
     hasStoreMillis: optional(number),
     tableVersions: record(string, number),
+    storeEra: optional(number),
     /** Instances that the sender knows but does not hear. */
     silentMembers: optional(array(string)),
     /** Rate limits that answers to the sender stated. */
@@ -123,7 +124,8 @@
         const report: MemberReport = {
             ...message,
             hasStoreMillis: message.hasStoreMillis,
-            silentMembers: message.silentMembers
+            silentMembers: message.silentMembers,
+            storeEra: message.storeEra
         };
         const isNewer = parts.members.recordReport(report, nowMillis);
         message.members?.forEach(record => parts.members.addMember(record, nowMillis));
@@ -145,7 +147,7 @@
         const crashes = parts.crashes().slice(-maxCrashesInMessage);
         const rateLimits = parts.rateLimits();
         const silentMembers = parts.members.silent(monotonicMillis()).slice(0, maxSilentMembersInMessage);
-        const { isReady, inFlight, awayShares, hasStoreMillis, tableVersions } = parts.describeSelf();
+        const { isReady, inFlight, awayShares, hasStoreMillis, tableVersions, storeEra } = parts.describeSelf();
         const content: PeerMessage = {
             record: parts.own,
             incarnation: parts.incarnation,
@@ -155,6 +157,7 @@
             awayShares: { ...awayShares },
             hasStoreMillis,
             tableVersions: { ...tableVersions },
+            storeEra,
             silentMembers: silentMembers.map(member => member.name),
             rateLimits: rateLimits.length > 0 ? [...rateLimits] : undefined,
             membersKnown: parts.members.allRecords().length,
--- a/packages/endivebridge-gateway/src/__tests__/unit/PeerExchange.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/PeerExchange.test.ts
@@ -74,7 +74,8 @@
                 members: undefined,
                 crashes: undefined,
                 silentMembers: undefined,
-                rateLimits: undefined
+                rateLimits: undefined,
+                storeEra: undefined
             };
             peer.send(JSON.stringify(answer), instancePort, host);
             if (seen.length === messages) {
--- a/packages/endivebridge-traffic/src/Members.ts
+++ b/packages/endivebridge-traffic/src/Members.ts
@@ -25,6 +25,8 @@
     readonly hasStoreMillis: number | undefined;
     /** Version of the newest change applied from each table of the store. */
     readonly tableVersions: Readonly<Record<string, number>>;
+    /** Era of the store that the table versions belong to; versions of different eras cannot be compared. */
+    readonly storeEra?: number | undefined;
     /** Names of known members from which the instance has no recent report. */
     readonly silentMembers?: readonly string[] | undefined;
 }
