Gateway: take a newer configuration from a peer when the store lost it

An instance that starts between the store's return and the operators' next write read the older configuration of the copy and served no route added since, while its peers did. Reports now carry the version of the configuration in force; an instance whose version stays behind a peer's for 1.5 s fetches the configuration from that peer. Its own newer one was always kept.

--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -21,6 +21,7 @@
 import { randomBytes } from "node:crypto";
 import { applyCallerLimits, makeCallerServer } from "./CallerServer";
 import { makeColdSharers } from "./ColdSharers";
+import { makeConfigurationCatchUp } from "./ConfigurationCatchUp";
 import type { Dialect } from "./Dialect";
 import { type Directory, makeDirectory } from "./Directory";
 import type { EventLog } from "./EventLog";
@@ -32,8 +33,9 @@
 import { makeRegionBalancing } from "./RegionBalancing";
 import { runRequest } from "./RunRequest";
 import { ServerConnections } from "./ServerConnections";
-import { serveSnapshots, type SnapshotSource, startSnapshotRequests } from "./SnapshotTransfer";
+import { fetchSnapshot, serveSnapshots, type SnapshotSource, startSnapshotRequests } from "./SnapshotTransfer";
 import { makeStartupWait } from "./StartupWait";
+import { configurationOf } from "./StateSnapshot";
 import { makeTableVersions } from "./TableVersions";
 
 /** Settings of one gateway. */
@@ -283,6 +285,14 @@
     });
     const balanceTimer = setInterval(balanceRegions, balanceIntervalMillis);
 
+    const configurationVersion = () => beliefs.inForce()?.configuration.version;
+    const catchUp = makeConfigurationCatchUp({
+        ownVersion: configurationVersion,
+        fetchSnapshot,
+        applyConfiguration: snapshot => beliefs.applyConfiguration(configurationOf(snapshot)),
+        log
+    });
+
     const peers = startPeerExchange({
         own,
         incarnation: randomBytes(6).toString("base64url"),
@@ -293,13 +303,17 @@
             inFlight: ownInFlight(),
             awayShares: awayShares(),
             hasStoreMillis: hasStoreMillis(),
-            ...tableVersions.current()
+            ...tableVersions.current(),
+            configurationVersion: configurationVersion()
         }),
         crashes: () => poison.quarantined(monotonicMillis()),
         onReport: report => {
             for (const [table, version] of tableVersions.newerIn(report)) {
                 newerTableListeners.forEach(listener => listener(table, version));
             }
+            if (report.configurationVersion !== undefined) {
+                catchUp.recordPeerVersion(report.record, report.configurationVersion, monotonicMillis());
+            }
             const inFlightByServer = members.inFlight(monotonicMillis());
             for (const tracked of pool.all()) {
                 tracked.peersInFlight = inFlightByServer.get(tracked.server.id) ?? 0;
--- a/packages/endivebridge-gateway/src/PeerExchange.ts
+++ b/packages/endivebridge-gateway/src/PeerExchange.ts
@@ -25,6 +25,7 @@
     hasStoreMillis: optional(number),
     tableVersions: record(string, number),
     storeEra: optional(number),
+    configurationVersion: optional(number),
     /** Instances that the sender knows but does not hear. */
     silentMembers: optional(array(string)),
     /** Rate limits that answers to the sender stated. */
@@ -125,7 +126,8 @@
             ...message,
             hasStoreMillis: message.hasStoreMillis,
             silentMembers: message.silentMembers,
-            storeEra: message.storeEra
+            storeEra: message.storeEra,
+            configurationVersion: message.configurationVersion
         };
         const isNewer = parts.members.recordReport(report, nowMillis);
         message.members?.forEach(record => parts.members.addMember(record, nowMillis));
@@ -147,7 +149,8 @@
         const crashes = parts.crashes().slice(-maxCrashesInMessage);
         const rateLimits = parts.rateLimits();
         const silentMembers = parts.members.silent(monotonicMillis()).slice(0, maxSilentMembersInMessage);
-        const { isReady, inFlight, awayShares, hasStoreMillis, tableVersions, storeEra } = parts.describeSelf();
+        const { isReady, inFlight, awayShares, hasStoreMillis, tableVersions, storeEra, configurationVersion } = parts
+            .describeSelf();
         const content: PeerMessage = {
             record: parts.own,
             incarnation: parts.incarnation,
@@ -158,6 +161,7 @@
             hasStoreMillis,
             tableVersions: { ...tableVersions },
             storeEra,
+            configurationVersion,
             silentMembers: silentMembers.map(member => member.name),
             rateLimits: rateLimits.length > 0 ? [...rateLimits] : undefined,
             membersKnown: parts.members.allRecords().length,
--- a/packages/endivebridge-gateway/src/__tests__/unit/PeerExchange.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/PeerExchange.test.ts
@@ -75,7 +75,8 @@
                 crashes: undefined,
                 silentMembers: undefined,
                 rateLimits: undefined,
-                storeEra: undefined
+                storeEra: undefined,
+                configurationVersion: undefined
             };
             peer.send(JSON.stringify(answer), instancePort, host);
             if (seen.length === messages) {
--- a/packages/endivebridge-traffic/src/Members.ts
+++ b/packages/endivebridge-traffic/src/Members.ts
@@ -27,6 +27,8 @@
     readonly tableVersions: Readonly<Record<string, number>>;
     /** Era of the store that the table versions belong to; versions of different eras cannot be compared. */
     readonly storeEra?: number | undefined;
+    /** Version of the configuration in force. */
+    readonly configurationVersion?: number | undefined;
     /** Names of known members from which the instance has no recent report. */
     readonly silentMembers?: readonly string[] | undefined;
 }
