Exchange: accept no refusal without a request id on a reused connection

A faulty server that writes an earlier refusal once more on a kept connection could make a request that it runs look refused: callers were told "not run", and a second server could run it. A refusal with the id of the earlier request was rejected already; one without an id was taken for the answer. In the test the caller got 503 for a request that had begun to run; now 502, and no second server gets it. Refusals without an id still count on a new connection, where no earlier request can have left one.

Beside it, tests of a server that closes within its answer's head, at eight places: all passed at once.

--- a/packages/endivebridge-gateway/src/Exchange.ts
+++ b/packages/endivebridge-gateway/src/Exchange.ts
@@ -123,8 +123,9 @@
         const status = incoming.statusCode ?? 0;
         const answeredId = headers[dialect.requestIdHeader];
         const isNotExecuted = headers[dialect.notExecutedHeader] !== undefined || status === misdirectedRequestStatus;
-        // A late response to an earlier request carries that request's id.
-        const isForThisRequest = answeredId === call.requestId || (answeredId === undefined && isNotExecuted);
+        // A late response to an earlier request carries that request's id, or none if it is a refusal.
+        const isForThisRequest = answeredId === call.requestId
+            || (answeredId === undefined && isNotExecuted && !request.reusedSocket);
         if (!isForThisRequest) {
             fail("answer belongs to another request", false);
             return;
