Gateway: no retry slack while a restarted instance knows no other one

The same cause as with rate limits elsewhere: the slack of the retry budget was divided by the number of known instances, which is one right after a start. Twelve instances that restart together could spend 576 retries of a slack of 60 (computed with the budget as it is). The share is now 0 while no member is known in the first five seconds, as for cold servers, from one function. Test: the sum stays within the slack.

--- a/packages/endivebridge-gateway/src/ColdSharers.ts
+++ b/packages/endivebridge-gateway/src/ColdSharers.ts
@@ -1,8 +1,6 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import type { MemberRecord, Members } from "@endivebridge/traffic";
-
-/** An instance that knows no member this long after its start assumes that it is the only one. */
-const soleInstanceAfterMillis = 5_000;
+import { isTooEarlyToKnowMembers } from "./InstanceCount";
 
 /**
  * Creates a function that counts the instances sharing the request limit of the cold servers of a failure domain: those
@@ -29,7 +27,7 @@
 
     return failureDomain => {
         const known = members.allRecords();
-        if (known.length === 0 && monotonicMillis() - startedMillis < soleInstanceAfterMillis) {
+        if (isTooEarlyToKnowMembers(known.length, startedMillis, monotonicMillis())) {
             return 0;
         }
         if (known !== countedMembers) {
--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -26,6 +26,7 @@
 import { type Directory, makeDirectory } from "./Directory";
 import type { EventLog } from "./EventLog";
 import type { GatewayMetrics } from "./GatewayMetrics";
+import { makeInstanceCount } from "./InstanceCount";
 import { makeKnownState } from "./KnownState";
 import { memberLivenessMillis, startPeerExchange } from "./PeerExchange";
 import { makeRateLimitReports } from "./RateLimitReports";
@@ -156,6 +157,7 @@
             : routes.reduce((sum, route) => sum + millisOf(route), 0) / routes.length;
     };
 
+    const instanceCount = makeInstanceCount(members, startedMillis);
     const coldRateSharerCount = makeColdSharers(own, members, startedMillis);
 
     const rateLimitShare = makeRateLimitShares(own, members, startedMillis);
@@ -221,7 +223,7 @@
                 hedging,
                 estimates,
                 poison,
-                members,
+                instanceCount,
                 stopEndMillis: () => stopEndMillis,
                 connectionsOf: placed => connectionsTo(placed.tracked.server),
                 log,
--- a/packages/endivebridge-gateway/src/RateLimitSharing.ts
+++ b/packages/endivebridge-gateway/src/RateLimitSharing.ts
@@ -1,8 +1,7 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import { type BackendServer, computeRateLimitShare, type MemberRecord, type Members } from "@endivebridge/traffic";
+import { isTooEarlyToKnowMembers } from "./InstanceCount";
 
-/** An instance that knows no member this long after its start assumes that it is the only one. */
-const soleInstanceAfterMillis = 5_000;
 /** Interval at which the list of instances that share the limits is determined anew. */
 const refreshIntervalMillis = 500;
 
@@ -33,7 +32,7 @@
         if (nowMillis - refreshedAtMillis > refreshIntervalMillis) {
             refreshSharers(nowMillis);
         }
-        if (sharers.length === 0 && nowMillis - startedMillis < soleInstanceAfterMillis) {
+        if (isTooEarlyToKnowMembers(sharers.length, startedMillis, nowMillis)) {
             return 0;
         }
         const known = shares.get(server.id);
--- a/packages/endivebridge-gateway/src/RequestSends.ts
+++ b/packages/endivebridge-gateway/src/RequestSends.ts
@@ -61,7 +61,6 @@
     let isCancelled = false;
 
     const cancelRunning = () => exchanges.forEach(exchange => exchange.cancel());
-    const instances = () => parts.members.allRecords().length + 1;
 
     const logRepeatedSend: RequestSends["logRepeatedSend"] = (kind, placed, detail, tookMillis) => {
         const nowMillis = monotonicMillis();
@@ -72,7 +71,7 @@
             detail,
             tookMillis: Math.round(tookMillis),
             sends: count,
-            budgetLeft: parts.retryBudget.remaining(service.name, instances(), nowMillis),
+            budgetLeft: parts.retryBudget.remaining(service.name, parts.instanceCount(), nowMillis),
             leftMillis: Math.round(deadlineMillis - nowMillis)
         }, repeatedSendMessages[kind]);
     };
@@ -124,12 +123,12 @@
         if (
             isCancelled || parts.requestQueue.waiting(service.name) > 0
             || !parts.placement.canHedge(placed, nowMillis)
-            || parts.retryBudget.remaining(service.name, instances(), nowMillis) < 1
+            || parts.retryBudget.remaining(service.name, parts.instanceCount(), nowMillis) < 1
             || !parts.hedging.trySpend(service.name, nowMillis)
         ) {
             return undefined;
         }
-        parts.retryBudget.trySpend(service.name, instances(), nowMillis);
+        parts.retryBudget.trySpend(service.name, parts.instanceCount(), nowMillis);
         logRepeatedSend("hedge", placed, "no answer yet", parts.hedging.delayMillis(placed.expectedMillis));
         parts.placement.reserve(placed, nowMillis);
         return sendOnce(placed, "hedge");
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -2,7 +2,6 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import {
     type Hedging,
-    type Members,
     type Placed,
     type Placement,
     type RefusalReason,
@@ -72,7 +71,8 @@
     readonly hedging: Hedging;
     readonly estimates: ServiceTimeEstimates;
     readonly poison: QuarantineList;
-    readonly members: Members;
+    /** Number of instances that share the retry budget. */
+    readonly instanceCount: () => number;
     /** When the requests that are still open are cut; infinite unless the instance is shutting down. */
     readonly stopEndMillis: () => number;
     readonly connectionsOf: (placed: Placed) => ServerConnections;
@@ -243,8 +243,8 @@
         if (latestAnswerMillis() - nowMillis < parts.estimates.estimateMillis(route, 0) * 0.5) {
             return false;
         }
-        const instances = parts.members.allRecords().length + 1;
-        return !mayHaveReachedServer || parts.retryBudget.trySpend(service.name, instances, nowMillis);
+        return !mayHaveReachedServer
+            || parts.retryBudget.trySpend(service.name, parts.instanceCount(), nowMillis);
     };
 
     /** Closes the server's connection at the deadline if the body that is streamed to the caller has not ended. */
--- a/packages/endivebridge-gateway/src/__tests__/unit/RateLimitSharing.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/RateLimitSharing.test.ts
@@ -1,14 +1,17 @@
 // Guards against rate limits that are exceeded by instances which miscount the others, or left unused for good because
 // instances count that have ended.
 
+import { range } from "@endivebridge/shared";
 import {
     type BackendServer,
     makeMembers,
+    makeRetryBudget,
     makeServerPool,
     type MemberRecord,
     type Members
 } from "@endivebridge/traffic";
 import test from "ava";
+import { makeInstanceCount } from "../../InstanceCount";
 import { makeRateLimitReports } from "../../RateLimitReports";
 import { makeRateLimitShares } from "../../RateLimitSharing";
 
@@ -84,3 +87,14 @@
     t.is(limitAtReceiver(20_300), undefined);
     t.deepEqual(sender.nextReports(60_000), []);
 });
+
+test("instances that have just restarted together do not spend the retry budget of all, each for itself", t => {
+    const slack = 60;
+    const spent = range(12).map(() => {
+        const instanceCount = makeInstanceCount(makeMembers("own", () => 1_000), performance.now());
+        const budget = makeRetryBudget({ ratio: 0.2, slack, windowMillis: 10_000 });
+        return range(slack).filter(() => budget.trySpend("desk", instanceCount(), 0)).length;
+    });
+    t.true(spent.reduce((sum, count) => sum + count, 0) <= slack, `${spent.join(" ")} of ${slack}`);
+    t.is(makeInstanceCount(makeMembers("own", () => 1_000), longAgo)(), 1, "alone");
+});
