--- a/packages/endivebridge-traffic/src/SingleTokenBucket.ts
+++ b/packages/endivebridge-traffic/src/SingleTokenBucket.ts
@@ -1,7 +1,7 @@
 /** Token bucket with a capacity of one request, which spaces requests evenly. */
 export interface SingleTokenBucket {
     readonly hasToken: (requestsPerSecond: number, nowMillis: number) => boolean;
-    /** Time until the next token; 0 if there is one, infinite at a rate of 0. */
+    /** Time until the next token; 0 if there is one, infinite at a rate of 0 even if a token is left. */
     readonly waitMillis: (requestsPerSecond: number, nowMillis: number) => number;
     readonly consumeToken: () => void;
 }
@@ -21,6 +21,9 @@
         },
         waitMillis: (requestsPerSecond, now) => {
             refill(requestsPerSecond, now);
+            if (requestsPerSecond === 0) {
+                return Infinity;
+            }
             return tokens >= 1 ? 0 : (1 - tokens) / requestsPerSecond * 1_000;
         },
         consumeToken: () => {
--- a/packages/endivebridge-traffic/src/__tests__/unit/RateLimits.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/RateLimits.test.ts
@@ -1,7 +1,14 @@
 import { range } from "@endivebridge/shared";
-import test from "ava";
+import test, { type ExecutionContext } from "ava";
 import fc from "fast-check";
-import { computeRateLimitShare, hashText, makeServerRateLimit, type Placed, type RateLimitSharer } from "../../index";
+import {
+    type BackendServer,
+    computeRateLimitShare,
+    hashText,
+    makeServerRateLimit,
+    type Placed,
+    type RateLimitSharer
+} from "../../index";
 import { makePlacementSample, route } from "./Samples";
 
 // Guards against instances that keep a server's rate limit each for itself, so that all together exceed it.
@@ -48,52 +55,111 @@
     t.pass();
 });
 
-for (const instanceCount of [1, 12, 65]) {
-    test(`${instanceCount} instances with more requests than rate limits allow exceed none of them`, t => {
-        const limits = [0.4, 1, 1.8, 3, 7];
-        const servers = range(limits.length).map(index => ({ id: `s${index}` }));
-        const sharers = makeSharers(instanceCount);
-        const samples = sharers.map(own =>
-            makePlacementSample(servers, {
-                region: own.region,
-                rateLimitShare: (requestsPerSecond, server) =>
-                    computeRateLimitShare(own, sharers.filter(other => other !== own), server, requestsPerSecond)
-            })
-        );
-        for (const { pool } of samples) {
-            limits.forEach((requestsPerSecond, index) =>
-                pool.get(`s${index}`)!.rateLimit.record({ requestsPerSecond, atMillis: 0 }, 0)
-            );
-        }
-        const sendsMillis = new Map<string, number[]>();
-        for (let nowMillis = 0; nowMillis < 30_000; nowMillis += 20) {
-            for (const { placement } of samples) {
-                const chosen = placement.choose({
-                    route: route({}),
-                    service: "desk",
-                    keyHash: hashText(`key ${nowMillis % 700}`),
-                    triedServers: new Set(),
-                    waitedShare: 1,
-                    isFirstAttempt: true,
-                    latestSendMillis: nowMillis + 1_000
-                }, nowMillis);
-                if (typeof chosen !== "string") {
-                    placement.reserve(chosen, nowMillis);
-                    chosen.tracked.ownInFlight -= 1;
-                    const { id } = chosen.tracked.server;
-                    sendsMillis.set(id, [...sendsMillis.get(id) ?? [], nowMillis]);
-                }
+/** Instances that all know the same servers and share their limits. */
+function makeInstances(sharers: readonly RateLimitSharer[], servers: readonly Partial<BackendServer>[]) {
+    return sharers.map(own => {
+        const others = sharers.filter(other => other !== own);
+        const shares = new Map<string, number>();
+        return makePlacementSample(servers, {
+            region: own.region,
+            rateLimitShare: (requestsPerSecond, server) => {
+                const key = `${server.id} ${requestsPerSecond}`;
+                const share = shares.get(key) ?? computeRateLimitShare(own, others, server, requestsPerSecond);
+                shares.set(key, share);
+                return share;
+            }
+        });
+    });
+}
+
+/** Sends of all instances by server when each of them gets a request every 20 ms. */
+function sendFromAll(
+    instances: ReturnType<typeof makeInstances>,
+    fromMillis: number,
+    toMillis: number
+): ReadonlyMap<string, readonly number[]> {
+    const sendsMillis = new Map<string, number[]>();
+    for (let nowMillis = fromMillis; nowMillis < toMillis; nowMillis += 20) {
+        for (const { placement } of instances) {
+            const chosen = placement.choose({
+                route: route({}),
+                service: "desk",
+                keyHash: hashText(`key ${nowMillis % 700}`),
+                triedServers: new Set(),
+                waitedShare: 1,
+                isFirstAttempt: true,
+                latestSendMillis: nowMillis + 1_000
+            }, nowMillis);
+            if (typeof chosen !== "string") {
+                placement.reserve(chosen, nowMillis);
+                chosen.tracked.ownInFlight -= 1;
+                const { id } = chosen.tracked.server;
+                sendsMillis.set(id, [...sendsMillis.get(id) ?? [], nowMillis]);
             }
         }
+    }
+    return sendsMillis;
+}
+
+const limits = [0.4, 1, 1.8, 3, 7, 20];
+const limitedServers = limits.map((_, index) => ({ id: `s${index}` }));
+
+function recordLimits(
+    instances: ReturnType<typeof makeInstances>,
+    limitOf: (index: number) => number,
+    nowMillis: number
+): void {
+    for (const { pool } of instances) {
+        limits.forEach((_, index) =>
+            pool.get(`s${index}`)!.rateLimit.record(
+                { requestsPerSecond: limitOf(index), atMillis: nowMillis },
+                nowMillis
+            )
+        );
+    }
+}
+
+function assertLimitsKept(t: ExecutionContext, sendsMillis: ReadonlyMap<string, readonly number[]>): void {
+    limits.forEach((requestsPerSecond, index) => {
+        const inWindow = largestWindowCount(sendsMillis.get(`s${index}`) ?? []);
+        t.true(
+            inWindow <= allowedInWindow(requestsPerSecond),
+            `${inWindow} in four seconds at a limit of ${requestsPerSecond}`
+        );
+    });
+}
+
+for (const instanceCount of [1, 12, 65]) {
+    test(`${instanceCount} instances with more requests than rate limits allow exceed none of them`, t => {
+        const instances = makeInstances(makeSharers(instanceCount), limitedServers);
+        recordLimits(instances, index => limits[index]!, 0);
+        const sendsMillis = sendFromAll(instances, 0, 30_000);
+        assertLimitsKept(t, sendsMillis);
         limits.forEach((requestsPerSecond, index) => {
-            const sends = sendsMillis.get(`s${index}`) ?? [];
-            t.true(
-                largestWindowCount(sends) <= allowedInWindow(requestsPerSecond),
-                `${largestWindowCount(sends)} in four seconds at a limit of ${requestsPerSecond}`
-            );
-            t.true(sends.length >= requestsPerSecond * 30 * 0.7, `${sends.length} at ${requestsPerSecond} a second`);
+            const { length } = sendsMillis.get(`s${index}`) ?? [];
+            t.true(length >= requestsPerSecond * 30 * 0.7, `${length} at ${requestsPerSecond} a second`);
         });
     });
+
+    test(`${instanceCount} instances that get requests after a pause exceed no rate limit`, t => {
+        const instances = makeInstances(makeSharers(instanceCount), limitedServers);
+        recordLimits(instances, index => limits[index]!, 0);
+        sendFromAll(instances, 0, 40);
+        assertLimitsKept(t, sendFromAll(instances, 20_000, 28_000));
+    });
+
+    test(`${instanceCount} instances with unused tokens exceed no rate limit that has fallen`, t => {
+        const instances = makeInstances(makeSharers(instanceCount), limitedServers);
+        recordLimits(instances, index => limits[index]! * 10, 0);
+        sendFromAll(instances, 0, 40);
+        for (const { pool, placement } of instances) {
+            limitedServers.forEach(({ id }) =>
+                placement.canHedge({ tracked: pool.get(id)!, rank: 0, isRemote: false, expectedMillis: 0 }, 20_000)
+            );
+        }
+        recordLimits(instances, index => limits[index]!, 20_000);
+        assertLimitsKept(t, sendFromAll(instances, 20_000, 28_000));
+    });
 }
 
 test("a hedge is sent only within the rate limit of its server", t => {
