Rate limits: no share while an instance does not know the others

An instance that had heard of one of 64 others took half of a server's limit, and one that had heard of none for five seconds the whole of it, each instance for itself. Instances that restart together begin so, and so does one whose reads of the list of instances fail. The share is now 0 for the first five seconds as long as a peer knows more instances, and after that while no instance is known and the platform has not listed them. The same holds for cold servers and the retry slack, which had the same cause.

The test of an instance that is alone now states that the platform has listed no other.

--- a/packages/endivebridge-gateway/src/ColdSharers.ts
+++ b/packages/endivebridge-gateway/src/ColdSharers.ts
@@ -1,6 +1,6 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import type { MemberRecord, Members } from "@endivebridge/traffic";
-import { isTooEarlyToKnowMembers } from "./InstanceCount";
+import { knowsOtherInstances } from "./InstanceCount";
 
 /**
  * Creates a function that counts the instances sharing the request limit of the cold servers of a failure domain: those
@@ -27,7 +27,7 @@
 
     return failureDomain => {
         const known = members.allRecords();
-        if (isTooEarlyToKnowMembers(known.length, startedMillis, monotonicMillis())) {
+        if (!knowsOtherInstances(members, startedMillis, monotonicMillis())) {
             return 0;
         }
         if (known !== countedMembers) {
--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -70,7 +70,8 @@
     readonly registerNewerTableVersionListener: (listener: (table: string, version: number) => void) => Teardown;
     /** Whether some live member has had access to the store for at least this long. */
     readonly hasMemberWithStoreAccess: (millis: number) => boolean;
-    readonly addMember: (record: MemberRecord) => void;
+    /** Adds the instances that the platform lists; without other ones, this instance counts as alone. */
+    readonly addListedMembers: (records: readonly MemberRecord[]) => void;
     readonly isReady: () => boolean;
     readonly directory: Directory;
     /** Shuts down gracefully: resolves when requests in flight are finished or the stop time is nearly over. */
@@ -376,7 +377,11 @@
             return () => newerTableListeners.delete(listener);
         },
         hasMemberWithStoreAccess: millis => members.hasMemberWithStoreFor(millis, monotonicMillis()),
-        addMember: record => members.addMember(record, monotonicMillis()),
+        addListedMembers: records => {
+            const nowMillis = monotonicMillis();
+            records.forEach(record => members.addMember(record, nowMillis));
+            members.recordListed();
+        },
         isReady,
         directory: makeDirectory(own, isReady, members),
         stop: () => {
--- a/packages/endivebridge-gateway/src/InstanceCount.ts
+++ b/packages/endivebridge-gateway/src/InstanceCount.ts
@@ -1,21 +1,25 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import type { Members } from "@endivebridge/traffic";
 
-/** An instance that knows no member this long after its start assumes that it is the only one. */
-const soleInstanceAfterMillis = 5_000;
+/** Time after the start in which peers and the platform name the other instances. */
+const settlingMillis = 5_000;
 
-/** Whether an instance that knows the given number of members has started too recently to have learned of others. */
-export function isTooEarlyToKnowMembers(memberCount: number, startedMillis: number, nowMillis: number): boolean {
-    return memberCount === 0 && nowMillis - startedMillis < soleInstanceAfterMillis;
+/**
+ * Whether an instance knows enough of the others to use its shares of common limits. Right after the start it has to
+ * know as many as its peers do; an instance that knows no other one is alone only if the platform has listed none.
+ */
+export function knowsOtherInstances(members: Members, startedMillis: number, nowMillis: number): boolean {
+    const knownCount = members.allRecords().length;
+    return nowMillis - startedMillis < settlingMillis
+        ? knownCount > 0 && knownCount >= members.knownByPeers(nowMillis)
+        : knownCount > 0 || members.isListed();
 }
 
 /**
  * Creates a function that counts the instances which share a limit, this one included. The count is infinite, so that
- * the own share is 0, while no member can be known yet.
+ * the own share is 0, while the other instances are not known.
  */
 export function makeInstanceCount(members: Members, startedMillis: number): () => number {
-    return () => {
-        const memberCount = members.allRecords().length;
-        return isTooEarlyToKnowMembers(memberCount, startedMillis, monotonicMillis()) ? Infinity : memberCount + 1;
-    };
+    return () =>
+        knowsOtherInstances(members, startedMillis, monotonicMillis()) ? members.allRecords().length + 1 : Infinity;
 }
--- a/packages/endivebridge-gateway/src/RateLimitSharing.ts
+++ b/packages/endivebridge-gateway/src/RateLimitSharing.ts
@@ -1,6 +1,6 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import { type BackendServer, computeRateLimitShare, type MemberRecord, type Members } from "@endivebridge/traffic";
-import { isTooEarlyToKnowMembers } from "./InstanceCount";
+import { knowsOtherInstances } from "./InstanceCount";
 
 /** Interval at which the list of instances that share the limits is determined anew. */
 const refreshIntervalMillis = 500;
@@ -10,16 +10,18 @@
 
 /**
  * Creates the function that computes this instance's share of a server's rate limit. Members that may still run count,
- * also while they are silent. Right after the start, while no member is known, the share is 0. Each placement calls the
- * function, so shares are cached while the instances stay the same.
+ * also while they are silent. The share is 0 while the other instances are not known. Each placement calls the function,
+ * so shares are cached while the instances stay the same.
  */
 export function makeRateLimitShares(own: MemberRecord, members: Members, startedMillis: number): RateLimitShares {
     let sharers: readonly MemberRecord[] = [];
+    let knowsOthers = false;
     let refreshedAtMillis = -Infinity;
     const shares = new Map<string, { readonly requestsPerSecond: number; readonly share: number; }>();
 
     const refreshSharers = (nowMillis: number) => {
         refreshedAtMillis = nowMillis;
+        knowsOthers = knowsOtherInstances(members, startedMillis, nowMillis);
         const current = members.possiblyRunning(nowMillis);
         if (current.length !== sharers.length || current.some((record, index) => record !== sharers[index])) {
             sharers = current;
@@ -32,7 +34,7 @@
         if (nowMillis - refreshedAtMillis > refreshIntervalMillis) {
             refreshSharers(nowMillis);
         }
-        if (isTooEarlyToKnowMembers(sharers.length, startedMillis, nowMillis)) {
+        if (!knowsOthers) {
             return 0;
         }
         const known = shares.get(server.id);
--- a/packages/endivebridge-gateway/src/__tests__/unit/ColdSharers.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/ColdSharers.test.ts
@@ -19,6 +19,8 @@
 test("counts the instances of the server's failure domain, or of the region if it has none", t => {
     const members = makeMembers("own", () => 1_000);
     const sharers = makeColdSharers(own, members, longAgo);
+    t.is(sharers("fraser-a"), 0, "the platform has not told of others");
+    members.recordListed();
     t.is(sharers("fraser-a"), 1);
     members.addMember(member("near", "fraser-a"), 0);
     t.is(sharers("fraser-a"), 2);
--- a/packages/endivebridge-gateway/src/__tests__/unit/RateLimitSharing.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/RateLimitSharing.test.ts
@@ -38,7 +38,13 @@
 const own = record("own");
 const longAgo = -60_000;
 
-function report(members: Members, name: string, silentMembers: readonly string[], nowMillis: number): void {
+function report(
+    members: Members,
+    name: string,
+    silentMembers: readonly string[],
+    nowMillis: number,
+    membersKnown = 0
+): void {
     members.recordReport({
         record: record(name),
         incarnation: "first",
@@ -48,16 +54,31 @@
         awayShares: {},
         hasStoreMillis: undefined,
         tableVersions: {},
-        silentMembers
+        silentMembers,
+        membersKnown
     }, nowMillis);
 }
 
 test("uses no rate limit right after the start while no member is known, and the whole limit when alone", t => {
     const members = makeMembers("own", () => 1_000);
+    members.recordListed();
     t.is(makeRateLimitShares(own, members, performance.now())(4, server), 0);
     t.is(makeRateLimitShares(own, members, longAgo)(4, server), 4);
 });
 
+test("an instance that the platform has not told of others does not take the whole rate limit", t => {
+    t.is(makeRateLimitShares(own, makeMembers("own", () => 1_000), longAgo)(4, server), 0);
+});
+
+test("a restarted instance that knows one of many members does not take half of the rate limit", t => {
+    const startedMillis = performance.now();
+    const members = makeMembers("own", () => 60_000);
+    report(members, "peer", [], startedMillis, 64);
+    t.is(makeRateLimitShares(own, members, startedMillis)(64, server), 0);
+    range(63).forEach(index => members.addMember(record(`other-${index}`), startedMillis));
+    t.true(makeRateLimitShares(own, members, startedMillis)(64, server) <= 1);
+});
+
 test("shares a rate limit with silent members that may still run", t => {
     const members = makeMembers("own", () => 1_000);
     members.addMember(record("unheard"), performance.now());
@@ -96,5 +117,7 @@
         return range(slack).filter(() => budget.trySpend("desk", instanceCount(), 0)).length;
     });
     t.true(spent.reduce((sum, count) => sum + count, 0) <= slack, `${spent.join(" ")} of ${slack}`);
-    t.is(makeInstanceCount(makeMembers("own", () => 1_000), longAgo)(), 1, "alone");
+    const members = makeMembers("own", () => 1_000);
+    members.recordListed();
+    t.is(makeInstanceCount(members, longAgo)(), 1, "alone");
 });
--- a/packages/endivebridge-traffic/src/Members.ts
+++ b/packages/endivebridge-traffic/src/Members.ts
@@ -31,6 +31,8 @@
     readonly configurationVersion?: number | undefined;
     /** Names of known members from which the instance has no recent report. */
     readonly silentMembers?: readonly string[] | undefined;
+    /** Number of other instances that the instance knows. */
+    readonly membersKnown?: number | undefined;
 }
 
 interface Member {
@@ -45,12 +47,19 @@
     hasStoreMillis: number | undefined;
     tableVersions: Readonly<Record<string, number>>;
     silentMembers?: readonly string[] | undefined;
+    membersKnown?: number | undefined;
 }
 
 /** Membership list of the other instances known to this one. */
 export interface Members {
     /** Adds a member's address; the member counts as live only after its first report. */
     readonly addMember: (record: MemberRecord, nowMillis: number) => void;
+    /** Records that the platform has listed the instances, also if there is no other one. */
+    readonly recordListed: () => void;
+    /** Whether the platform has listed the instances since the start. */
+    readonly isListed: () => boolean;
+    /** Largest number of other instances that a live member knows; 0 if none is live. */
+    readonly knownByPeers: (nowMillis: number) => number;
     /** Stores a report; false for this instance's own or if one of the same incarnation is as new or newer. */
     readonly recordReport: (report: MemberReport, nowMillis: number) => boolean;
     /** Records of all members; the same array until a member is added or its record changes. */
@@ -89,6 +98,7 @@
 export function makeMembers(ownName: string, livenessTimeoutMillis: LivenessTimeoutMillis): Members {
     const members = new Map<string, Member>();
     let cachedRecords: readonly MemberRecord[] | undefined;
+    let isListed = false;
     /** Sums over the members in `countedInFlight`, updated with each report. */
     const inFlightSums = new Map<string, number>();
     const countedInFlight = new Map<string, Readonly<Record<string, number>>>();
@@ -156,6 +166,14 @@
                 member.record = record;
             }
         },
+        recordListed: () => {
+            isListed = true;
+        },
+        isListed: () => isListed,
+        knownByPeers: nowMillis =>
+            [...members.values()]
+                .filter(member => isLive(member, nowMillis))
+                .reduce((most, { membersKnown = 0 }) => Math.max(most, membersKnown), 0),
         recordReport: (report, nowMillis) => {
             const { record, incarnation, sequence } = report;
             if (record.name === ownName) {
--- a/packages/endivebridge-traffic/src/__tests__/unit/RateLimits.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/RateLimits.test.ts
@@ -102,7 +102,7 @@
 }
 
 const limits = [0.4, 1, 1.8, 3, 7, 20];
-const limitedServers = limits.map((_, index) => ({ id: `s${index}` }));
+const limitedServers = range(limits.length).map(index => ({ id: `s${index}` }));
 
 function recordLimits(
     instances: ReturnType<typeof makeInstances>,
@@ -110,7 +110,7 @@
     nowMillis: number
 ): void {
     for (const { pool } of instances) {
-        limits.forEach((_, index) =>
+        range(limits.length).forEach(index =>
             pool.get(`s${index}`)!.rateLimit.record(
                 { requestsPerSecond: limitOf(index), atMillis: nowMillis },
                 nowMillis
