Rate limits: a minority that is cut off does not take over the shares of the others

An instance that heard none of the others for 20 s counted them as ended and took the whole of each limit, while the others kept it too. It now goes on counting the members that it has ever heard as long as it hears no majority of them; a majority counts the silent ones as ended, as before. So both sides of a partition together use at most one and a half times a limit. What it costs: after most instances have ended for good, the rest keep their old shares.

Test: the instance counted 0 of 11 silent members before, 11 after. The older test of ended members now has a majority that reports; its expectations are unchanged otherwise.

--- a/packages/endivebridge-gateway/src/__tests__/unit/RateLimitSharing.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/RateLimitSharing.test.ts
@@ -90,8 +90,26 @@
     report(members, "ended", [], 0);
     report(members, "partitioned", [], 0);
     report(members, "live", ["ended"], 60_000);
-    t.deepEqual(members.possiblyRunning(60_000).map(({ name }) => name), ["partitioned", "live"]);
-    t.deepEqual(members.possiblyRunning(10_000).map(({ name }) => name), ["ended", "partitioned", "live"]);
+    report(members, "alsoLive", ["ended"], 60_000);
+    const running = (nowMillis: number) => members.possiblyRunning(nowMillis).map(({ name }) => name);
+    t.deepEqual(running(10_000), ["ended", "partitioned", "live", "alsoLive"]);
+    t.deepEqual(running(60_000), ["partitioned", "live", "alsoLive"]);
+    report(members, "ended", [], 61_000);
+    t.deepEqual(running(61_000), ["ended", "partitioned", "live", "alsoLive"]);
+});
+
+test("an instance that is cut off from most others does not take over their shares of a rate limit", t => {
+    const members = makeMembers("own", () => 1_000);
+    const names = range(11).map(index => `other-${index}`);
+    names.forEach(name => report(members, name, [], 0));
+    const countRunning = (nowMillis: number) => members.possiblyRunning(nowMillis).length;
+    t.is(countRunning(60_000), 11, "no other one is heard");
+    names.slice(0, 4).forEach(name => report(members, name, names.slice(4), 70_000));
+    t.is(countRunning(70_000), 11, "four others are heard");
+    names.slice(0, 6).forEach(name => report(members, name, names.slice(6), 80_000));
+    t.is(countRunning(80_000), 6, "a majority is heard");
+    names.slice(0, 5).forEach(name => report(members, name, names.slice(5), 90_000));
+    t.is(countRunning(110_000), 6, "all are silent after others have ended");
 });
 
 test("peers learn a rate limit and its end from the reports of an instance that gets answers", t => {
--- a/packages/endivebridge-traffic/src/Members.ts
+++ b/packages/endivebridge-traffic/src/Members.ts
@@ -42,6 +42,8 @@
     isReady: boolean;
     addedAtMillis: number;
     lastReportAtMillis: number | undefined;
+    /** Whether the member counts as ended until it reports again. */
+    hasEnded: boolean;
     inFlight: Readonly<Record<string, number>>;
     awayShares: Readonly<Record<string, number>>;
     hasStoreMillis: number | undefined;
@@ -72,7 +74,8 @@
     readonly silent: (nowMillis: number) => readonly MemberRecord[];
     /**
      * Members that may still send requests: all but those that neither this instance nor, by their reports, any live
-     * member has heard for a long time.
+     * member has heard for a long time. An instance that hears no majority may itself be cut off from the others; it
+     * goes on counting all that it has ever heard.
      */
     readonly possiblyRunning: (nowMillis: number) => readonly MemberRecord[];
     /** Sum of requests in flight by backend server, over live members; the same map, updated by later reports. */
@@ -155,6 +158,7 @@
                     isReady: false,
                     addedAtMillis: nowMillis,
                     lastReportAtMillis: undefined,
+                    hasEnded: false,
                     inFlight: {},
                     awayShares: {},
                     hasStoreMillis: undefined,
@@ -186,7 +190,12 @@
             if (member === undefined || !isSameRecord(member.record, record)) {
                 cachedRecords = undefined;
             }
-            members.set(record.name, { ...report, addedAtMillis: nowMillis, lastReportAtMillis: nowMillis });
+            members.set(record.name, {
+                ...report,
+                addedAtMillis: nowMillis,
+                lastReportAtMillis: nowMillis,
+                hasEnded: false
+            });
             countInFlight(record.name, report.inFlight);
             return true;
         },
@@ -194,11 +203,20 @@
         ready: nowMillis => recordsWhere(member => member.isReady && isLive(member, nowMillis)),
         live: nowMillis => recordsWhere(member => isLive(member, nowMillis)),
         silent: nowMillis => recordsWhere(member => !isLive(member, nowMillis)),
-        possiblyRunning: nowMillis =>
-            recordsWhere(member =>
-                nowMillis - (member.lastReportAtMillis ?? member.addedAtMillis) <= endedAfterMillis
-                || isHeardByPeers(member, nowMillis)
-            ),
+        possiblyRunning: nowMillis => {
+            const heard = [...members.values()].filter(member =>
+                member.lastReportAtMillis !== undefined && !member.hasEnded
+            );
+            const liveCount = heard.filter(member => isLive(member, nowMillis)).length;
+            const hearsMajority = (liveCount + 1) * 2 > heard.length + 1;
+            for (const member of members.values()) {
+                const silentSinceMillis = member.lastReportAtMillis ?? member.addedAtMillis;
+                member.hasEnded ||= nowMillis - silentSinceMillis > endedAfterMillis
+                    && (hearsMajority || member.lastReportAtMillis === undefined)
+                    && !isHeardByPeers(member, nowMillis);
+            }
+            return recordsWhere(member => !member.hasEnded);
+        },
         inFlight: nowMillis => {
             for (const name of countedInFlight.keys()) {
                 if (!isLive(members.get(name)!, nowMillis)) {
