Rate limits: pass on the end of a limit that was known from peers only

An instance reported the end of a limit only if an answer to itself had stated the limit before. One that had the limit from peers, and got the first answer without it, kept the end to itself; instances without a share get no answers and went on leaving the server out until the limit expired after 30 s. The test failed before (the peer still had 3 a second).

--- a/packages/endivebridge-gateway/src/RateLimitReports.ts
+++ b/packages/endivebridge-gateway/src/RateLimitReports.ts
@@ -38,13 +38,19 @@
 
     return {
         recordAnswer: (server, observation, nowMillis) => {
+            const rateLimit = pool.get(server)?.rateLimit;
+            const hasChanged = rateLimit?.record(observation, nowMillis) ?? false;
+            if (rateLimit?.requestsPerSecond(nowMillis) !== observation.requestsPerSecond) {
+                // A later answer is known, and peers need not hear of this one.
+                return false;
+            }
             const known = observations.get(server);
-            const hasChanged = known?.requestsPerSecond !== observation.requestsPerSecond;
-            if (hasChanged || observation.requestsPerSecond !== undefined) {
-                const changedAtMillis = hasChanged ? nowMillis : known?.changedAtMillis ?? nowMillis;
+            const isNewToPeers = hasChanged || known?.requestsPerSecond !== observation.requestsPerSecond;
+            if (isNewToPeers || observation.requestsPerSecond !== undefined) {
+                const changedAtMillis = isNewToPeers ? nowMillis : known?.changedAtMillis ?? nowMillis;
                 observations.set(server, { ...observation, changedAtMillis });
             }
-            return pool.get(server)?.rateLimit.record(observation, nowMillis) ?? false;
+            return hasChanged;
         },
         nextReports: nowMillis => {
             const changed: [string, OwnObservation][] = [];
--- a/packages/endivebridge-gateway/src/__tests__/unit/RateLimitSharing.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/RateLimitSharing.test.ts
@@ -127,6 +127,18 @@
     t.deepEqual(sender.nextReports(60_000), []);
 });
 
+test("peers learn the end of a rate limit from an instance that knew the limit from peers only", t => {
+    const pools = [makeServerPool(), makeServerPool()] as const;
+    pools.forEach(pool => pool.upsert(server, 0));
+    const [sender, receiver] = [makeRateLimitReports(pools[0]), makeRateLimitReports(pools[1])];
+    const limited = [{ server: "s1", requestsPerSecond: 3, ageMillis: 0 }];
+    sender.recordReports(limited, 1_000);
+    receiver.recordReports(limited, 1_000);
+    sender.recordAnswer("s1", { requestsPerSecond: undefined, atMillis: 2_000 }, 2_100);
+    receiver.recordReports(sender.nextReports(2_200), 2_200);
+    t.is(pools[1].get("s1")!.rateLimit.requestsPerSecond(2_200), undefined);
+});
+
 test("instances that have just restarted together do not spend the retry budget of all, each for itself", t => {
     const slack = 60;
     const spent = range(12).map(() => {
