Rate limits: keep a limit until an answer ends it, and deal its shares anew without answers

A limit expired 30 s after the last answer that stated it, at all instances at once. The expiry was meant for servers whose share lies with instances that have no requests for them. The limit now stays; instead its shares are dealt anew every 30 s without an answer, so that each instance has one in some turn.

--- a/packages/endivebridge-gateway/src/RateLimitReports.ts
+++ b/packages/endivebridge-gateway/src/RateLimitReports.ts
@@ -1,4 +1,4 @@
-import { rateLimitExpiryMillis, type RateLimitObservation, type ServerPool } from "@endivebridge/traffic";
+import type { RateLimitObservation, ServerPool } from "@endivebridge/traffic";
 
 /** Rate limit of a backend server in a message to peers. */
 export interface RateLimitReport {
@@ -40,7 +40,7 @@
         recordAnswer: (server, observation, nowMillis) => {
             const rateLimit = pool.get(server)?.rateLimit;
             const hasChanged = rateLimit?.record(observation, nowMillis) ?? false;
-            if (rateLimit?.requestsPerSecond(nowMillis) !== observation.requestsPerSecond) {
+            if (rateLimit?.current(nowMillis)?.requestsPerSecond !== observation.requestsPerSecond) {
                 // A later answer is known, and peers need not hear of this one.
                 return false;
             }
@@ -60,11 +60,7 @@
                 if (hasChangedLately) {
                     changed.push([server, observation]);
                 }
-                else if (
-                    observation.requestsPerSecond === undefined
-                    || nowMillis - observation.atMillis > rateLimitExpiryMillis
-                    || pool.get(server) === undefined
-                ) {
+                else if (observation.requestsPerSecond === undefined || pool.get(server) === undefined) {
                     observations.delete(server);
                 }
                 else {
--- a/packages/endivebridge-gateway/src/RateLimitSharing.ts
+++ b/packages/endivebridge-gateway/src/RateLimitSharing.ts
@@ -1,12 +1,18 @@
 import { monotonicMillis } from "@endivebridge/shared";
-import { type BackendServer, computeRateLimitShare, type MemberRecord, type Members } from "@endivebridge/traffic";
+import {
+    type BackendServer,
+    computeRateLimitShare,
+    type MemberRecord,
+    type Members,
+    type RateLimit
+} from "@endivebridge/traffic";
 import { knowsOtherInstances } from "./InstanceCount";
 
 /** Interval at which the list of instances that share the limits is determined anew. */
 const refreshIntervalMillis = 500;
 
 /** Shares of this instance in the rate limits of backend servers. */
-export type RateLimitShares = (requestsPerSecond: number, server: BackendServer) => number;
+export type RateLimitShares = (limit: RateLimit, server: BackendServer) => number;
 
 /**
  * Creates the function that computes this instance's share of a server's rate limit. Members that may still run count,
@@ -17,7 +23,7 @@
     let sharers: readonly MemberRecord[] = [];
     let knowsOthers = false;
     let refreshedAtMillis = -Infinity;
-    const shares = new Map<string, { readonly requestsPerSecond: number; readonly share: number; }>();
+    const shares = new Map<string, { readonly limit: RateLimit; readonly share: number; }>();
 
     const refreshSharers = (nowMillis: number) => {
         refreshedAtMillis = nowMillis;
@@ -29,7 +35,7 @@
         }
     };
 
-    return (requestsPerSecond, server) => {
+    return (limit, server) => {
         const nowMillis = monotonicMillis();
         if (nowMillis - refreshedAtMillis > refreshIntervalMillis) {
             refreshSharers(nowMillis);
@@ -38,11 +44,11 @@
             return 0;
         }
         const known = shares.get(server.id);
-        if (known?.requestsPerSecond === requestsPerSecond) {
+        if (known?.limit.requestsPerSecond === limit.requestsPerSecond && known.limit.turn === limit.turn) {
             return known.share;
         }
-        const share = computeRateLimitShare(own, sharers, server, requestsPerSecond);
-        shares.set(server.id, { requestsPerSecond, share });
+        const share = computeRateLimitShare(own, sharers, server, limit);
+        shares.set(server.id, { limit, share });
         return share;
     };
 }
--- a/packages/endivebridge-gateway/src/RequestSends.ts
+++ b/packages/endivebridge-gateway/src/RequestSends.ts
@@ -80,7 +80,7 @@
     const sendOnce = async (placed: Placed, kind: SendKind): Promise<CompletedAttempt> => {
         const { server, rateLimit } = placed.tracked;
         const sentMillis = monotonicMillis();
-        if (rateLimit.requestsPerSecond(sentMillis) !== undefined) {
+        if (rateLimit.current(sentMillis) !== undefined) {
             parts.metrics.limitedServerSends.inc({ kind });
         }
         const leftMillis = Math.max(1, Math.floor(deadlineMillis - sentMillis));
--- a/packages/endivebridge-gateway/src/UpdateServerStatistics.ts
+++ b/packages/endivebridge-gateway/src/UpdateServerStatistics.ts
@@ -100,7 +100,7 @@
         return;
     }
     const atMillis = requestsPerSecond === undefined ? sentMillis : nowMillis;
-    const previous = rateLimit.requestsPerSecond(nowMillis);
+    const previous = rateLimit.current(nowMillis)?.requestsPerSecond;
     if (rateLimitReports.recordAnswer(server.id, { requestsPerSecond, atMillis }, nowMillis)) {
         log.info("server limit", {
             server: server.id,
--- a/packages/endivebridge-traffic/src/Placement.ts
+++ b/packages/endivebridge-traffic/src/Placement.ts
@@ -2,6 +2,7 @@
 import { hashText, mixHashes } from "./Hash";
 import type { RegionBalance } from "./RegionBalance";
 import type { BackendServer, ServerPool, TrackedServer } from "./ServerPool";
+import type { RateLimit } from "./ServerRateLimit";
 import type { ServiceTimeEstimates } from "./ServiceTimeEstimates";
 
 /** A request that needs a backend server. */
@@ -47,7 +48,7 @@
     /** Number of instances that share the rate of a cold server in the failure domain; 0 if this one may not use it. */
     readonly coldRateSharerCount: (failureDomain: string) => number;
     /** Requests per second that this instance may send to a server with the given rate limit. */
-    readonly rateLimitShare: (requestsPerSecond: number, server: BackendServer) => number;
+    readonly rateLimitShare: (limit: RateLimit, server: BackendServer) => number;
     readonly estimates: ServiceTimeEstimates;
     /** Mean time that a server takes for a request of the service; the same at all instances. */
     readonly usualWorkMillis: (service: string) => number;
@@ -140,10 +141,8 @@
 
     /** Time until this instance may send to a server with a rate limit; 0 for servers without one. */
     const rateLimitWaitMillis = ({ server, rateLimit }: TrackedServer, nowMillis: number): number => {
-        const requestsPerSecond = rateLimit.requestsPerSecond(nowMillis);
-        return requestsPerSecond === undefined
-            ? 0
-            : rateLimit.waitMillis(view.rateLimitShare(requestsPerSecond, server), nowMillis);
+        const limit = rateLimit.current(nowMillis);
+        return limit === undefined ? 0 : rateLimit.waitMillis(view.rateLimitShare(limit, server), nowMillis);
     };
 
     const costMillis = (request: PlacementRequest, tracked: TrackedServer, rank: number, nowMillis: number): number => {
@@ -216,7 +215,7 @@
             return firstPlaced;
         }
         const isOpen = (tracked: TrackedServer) => isEligible(tracked) && !isAtLimit(tracked);
-        const hasLimit = ({ rateLimit }: TrackedServer) => rateLimit.requestsPerSecond(nowMillis) !== undefined;
+        const hasLimit = ({ rateLimit }: TrackedServer) => rateLimit.current(nowMillis) !== undefined;
         const standIn = order[findFrom(secondIndex + 1, tracked => !hasLimit(tracked) && isOpen(tracked))]
             ?? order[findFrom(secondIndex + 1, isOpen)];
         return standIn === undefined ? undefined : tryPlaceOn(request, standIn, 1, isOverflow, nowMillis);
@@ -261,12 +260,13 @@
         usualWorkMillis: number,
         nowMillis: number
     ): number => {
-        const requestsPerSecond = rateLimit.requestsPerSecond(nowMillis);
-        if (requestsPerSecond === undefined) {
+        const limit = rateLimit.current(nowMillis);
+        if (limit === undefined) {
             return 1;
         }
         const usualPerSecond = server.slots * 1_000 / usualWorkMillis;
-        return 2 ** Math.round(Math.log2(Math.max(minKeyWeight, Math.min(1, requestsPerSecond / usualPerSecond))));
+        return 2
+            ** Math.round(Math.log2(Math.max(minKeyWeight, Math.min(1, limit.requestsPerSecond / usualPerSecond))));
     };
 
     /** Servers of a service grouped by region; cached until the pool's list or a weight changes. */
@@ -352,7 +352,7 @@
             if (tracked.coldUntilMillis > nowMillis) {
                 tracked.coldRateLimiter.consumeToken();
             }
-            if (tracked.rateLimit.requestsPerSecond(nowMillis) !== undefined) {
+            if (tracked.rateLimit.current(nowMillis) !== undefined) {
                 tracked.rateLimit.consumeToken();
             }
         }
--- a/packages/endivebridge-traffic/src/RateLimitShare.ts
+++ b/packages/endivebridge-traffic/src/RateLimitShare.ts
@@ -1,4 +1,5 @@
 import { hashText, mixHashes } from "./Hash";
+import type { RateLimit } from "./ServerRateLimit";
 
 /** An instance that shares the rate limits of backend servers with all others. */
 export interface RateLimitSharer {
@@ -19,13 +20,13 @@
 /**
  * Computes the requests per second that one instance may send to a server with a rate limit. The shares of all
  * instances add up to the limit if they know the same instances. Units that do not divide evenly go to the instances
- * that rank first for the server in rendezvous order; with more instances than units, the others get no share.
+ * that rank first for the server and the turn in rendezvous order; with more instances than units, the others get no share.
  */
 export function computeRateLimitShare(
     own: RateLimitSharer,
     others: readonly RateLimitSharer[],
     server: { readonly id: string; readonly region: string; },
-    requestsPerSecond: number
+    { requestsPerSecond, turn }: RateLimit
 ): number {
     const limit = Math.max(minRequestsPerSecond, requestsPerSecond);
     const unitCount = Math.max(1, Math.floor(limit * unitSeconds));
@@ -34,7 +35,7 @@
     const groupUnitCount = countGroupUnits(unitCount, isLocal, others.length > group.length);
     const evenCount = Math.floor(groupUnitCount / (group.length + 1));
     const remainder = groupUnitCount % (group.length + 1);
-    const serverHash = hashText(server.id);
+    const serverHash = mixHashes(hashText(server.id), turn);
     const ownWeight = mixHashes(hashText(own.name), serverHash);
     const rank = group.filter(({ name }) => {
         const weight = mixHashes(hashText(name), serverHash);
--- a/packages/endivebridge-traffic/src/__tests__/unit/Samples.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Samples.ts
@@ -87,7 +87,7 @@
         isEvacuated: failureDomain => evacuated.has(failureDomain),
         roundTripMillis: () => 110,
         coldRateSharerCount: () => 1,
-        rateLimitShare: requestsPerSecond => requestsPerSecond,
+        rateLimitShare: limit => limit.requestsPerSecond,
         estimates: makeServiceTimeEstimates(),
         usualWorkMillis: () => 100,
         balance,
--- a/packages/endivebridge-traffic/src/index.ts
+++ b/packages/endivebridge-traffic/src/index.ts
@@ -20,7 +20,7 @@
 export { type BackendServer, makeServerPool, type ServerPool, type TrackedServer } from "./ServerPool";
 export {
     makeServerRateLimit,
-    rateLimitExpiryMillis,
+    type RateLimit,
     type RateLimitObservation,
     type ServerRateLimit
 } from "./ServerRateLimit";
