Placement: weigh keys by what this instance may send to servers with a rate limit

Keys were weighted by a server's whole limit, at every instance alike. With 65 instances and limits of 1 to 3 a second most instances have no share of a server and skipped it for each of its keys, while the few with a share got too few of its keys to use it; and no instance sent the request whose answer would have shown the end of a limit.

An instance now weighs a server by its own share of the limit, compared with its part of what the server usually takes; one without a share ranks last.

--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -161,7 +161,7 @@
     const instanceCount = makeInstanceCount(members, startedMillis);
     const coldRateSharerCount = makeColdSharers(own, members, startedMillis);
 
-    const rateLimitShare = makeRateLimitShares(own, members, startedMillis);
+    const rateLimitShares = makeRateLimitShares(own, members, startedMillis);
     const rateLimitReports = makeRateLimitReports(pool);
 
     const placement = makePlacement({
@@ -172,7 +172,8 @@
         isEvacuated: beliefs.isEvacuated,
         roundTripMillis: () => otherRegionRoundTripMillis,
         coldRateSharerCount,
-        rateLimitShare,
+        rateLimitShare: rateLimitShares.shareOf,
+        regionInstanceCount: rateLimitShares.regionInstanceCount,
         estimates,
         usualWorkMillis: name => meanOverRoutes(name, initialEstimateMillis),
         balance,
--- a/packages/endivebridge-gateway/src/RateLimitSharing.ts
+++ b/packages/endivebridge-gateway/src/RateLimitSharing.ts
@@ -12,15 +12,20 @@
 const refreshIntervalMillis = 500;
 
 /** Shares of this instance in the rate limits of backend servers. */
-export type RateLimitShares = (limit: RateLimit, server: BackendServer) => number;
+export interface RateLimitShares {
+    /** Requests per second that this instance may send to a server with the given limit. */
+    readonly shareOf: (limit: RateLimit, server: BackendServer) => number;
+    /** Number of instances in this instance's region, this one included. */
+    readonly regionInstanceCount: () => number;
+}
 
 /**
- * Creates the function that computes this instance's share of a server's rate limit. Members that may still run count,
- * also while they are silent. The share is 0 while the other instances are not known. Each placement calls the function,
- * so shares are cached while the instances stay the same.
+ * Creates the shares of one instance. Members that may still run count, also while they are silent. The share is 0 while
+ * the other instances are not known. Each placement asks for shares, so they are cached while the instances stay the same.
  */
 export function makeRateLimitShares(own: MemberRecord, members: Members, startedMillis: number): RateLimitShares {
     let sharers: readonly MemberRecord[] = [];
+    let regionInstanceCount = 1;
     let knowsOthers = false;
     let refreshedAtMillis = -Infinity;
     const shares = new Map<string, { readonly limit: RateLimit; readonly share: number; }>();
@@ -29,26 +34,40 @@
         refreshedAtMillis = nowMillis;
         knowsOthers = knowsOtherInstances(members, startedMillis, nowMillis);
         const current = members.possiblyRunning(nowMillis);
-        if (current.length !== sharers.length || current.some((record, index) => record !== sharers[index])) {
+        const isChanged = current.length !== sharers.length
+            || current.some(({ name, region }, index) =>
+                name !== sharers[index]!.name || region !== sharers[index]!.region
+            );
+        if (isChanged) {
             sharers = current;
             shares.clear();
+            regionInstanceCount = 1 + sharers.filter(({ region }) => region === own.region).length;
         }
     };
-
-    return (limit, server) => {
+    const refreshIfDue = () => {
         const nowMillis = monotonicMillis();
         if (nowMillis - refreshedAtMillis > refreshIntervalMillis) {
             refreshSharers(nowMillis);
         }
-        if (!knowsOthers) {
-            return 0;
-        }
-        const known = shares.get(server.id);
-        if (known?.limit.requestsPerSecond === limit.requestsPerSecond && known.limit.turn === limit.turn) {
-            return known.share;
+    };
+
+    return {
+        shareOf: (limit, server) => {
+            refreshIfDue();
+            if (!knowsOthers) {
+                return 0;
+            }
+            const known = shares.get(server.id);
+            if (known?.limit.requestsPerSecond === limit.requestsPerSecond && known.limit.turn === limit.turn) {
+                return known.share;
+            }
+            const share = computeRateLimitShare(own, sharers, server, limit);
+            shares.set(server.id, { limit, share });
+            return share;
+        },
+        regionInstanceCount: () => {
+            refreshIfDue();
+            return regionInstanceCount;
         }
-        const share = computeRateLimitShare(own, sharers, server, limit);
-        shares.set(server.id, { limit, share });
-        return share;
     };
 }
--- a/packages/endivebridge-gateway/src/__tests__/unit/RateLimitSharing.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/RateLimitSharing.test.ts
@@ -62,13 +62,16 @@
 test("uses no rate limit right after the start while no member is known, and the whole limit when alone", t => {
     const members = makeMembers("own", () => 1_000);
     members.recordListed();
-    t.is(makeRateLimitShares(own, members, performance.now())({ requestsPerSecond: 4, turn: 0 }, server), 0);
-    t.is(makeRateLimitShares(own, members, longAgo)({ requestsPerSecond: 4, turn: 0 }, server), 4);
+    t.is(makeRateLimitShares(own, members, performance.now()).shareOf({ requestsPerSecond: 4, turn: 0 }, server), 0);
+    t.is(makeRateLimitShares(own, members, longAgo).shareOf({ requestsPerSecond: 4, turn: 0 }, server), 4);
 });
 
 test("an instance that the platform has not told of others does not take the whole rate limit", t => {
     t.is(
-        makeRateLimitShares(own, makeMembers("own", () => 1_000), longAgo)({ requestsPerSecond: 4, turn: 0 }, server),
+        makeRateLimitShares(own, makeMembers("own", () => 1_000), longAgo).shareOf(
+            { requestsPerSecond: 4, turn: 0 },
+            server
+        ),
         0
     );
 });
@@ -77,15 +80,15 @@
     const startedMillis = performance.now();
     const members = makeMembers("own", () => 60_000);
     report(members, "peer", [], startedMillis, 64);
-    t.is(makeRateLimitShares(own, members, startedMillis)({ requestsPerSecond: 64, turn: 0 }, server), 0);
+    t.is(makeRateLimitShares(own, members, startedMillis).shareOf({ requestsPerSecond: 64, turn: 0 }, server), 0);
     range(63).forEach(index => members.addMember(record(`other-${index}`), startedMillis));
-    t.true(makeRateLimitShares(own, members, startedMillis)({ requestsPerSecond: 64, turn: 0 }, server) <= 1);
+    t.true(makeRateLimitShares(own, members, startedMillis).shareOf({ requestsPerSecond: 64, turn: 0 }, server) <= 1);
 });
 
 test("shares a rate limit with silent members that may still run", t => {
     const members = makeMembers("own", () => 1_000);
     members.addMember(record("unheard"), performance.now());
-    t.is(makeRateLimitShares(own, members, longAgo)({ requestsPerSecond: 4, turn: 0 }, server), 2);
+    t.is(makeRateLimitShares(own, members, longAgo).shareOf({ requestsPerSecond: 4, turn: 0 }, server), 2);
 });
 
 test("leaves a share to a member that another one hears, and none to one that all miss for a long time", t => {
--- a/packages/endivebridge-traffic/src/Placement.ts
+++ b/packages/endivebridge-traffic/src/Placement.ts
@@ -49,6 +49,8 @@
     readonly coldRateSharerCount: (failureDomain: string) => number;
     /** Requests per second that this instance may send to a server with the given rate limit. */
     readonly rateLimitShare: (limit: RateLimit, server: BackendServer) => number;
+    /** Number of instances in this instance's region, this one included. */
+    readonly regionInstanceCount: () => number;
     readonly estimates: ServiceTimeEstimates;
     /** Mean time that a server takes for a request of the service; the same at all instances. */
     readonly usualWorkMillis: (service: string) => number;
@@ -83,6 +85,8 @@
 const secondServerWaitShare = 0.25;
 /** Weight of a server with a rate limit near 0, which still gets some keys. */
 const minKeyWeight = 1 / 32;
+/** Weight of a server to which this instance may send nothing; it ranks last for all keys. */
+const unusableKeyWeight = 2 ** -30;
 /** Interval at which the weights of servers are computed anew. */
 const weighIntervalMillis = 500;
 /** Limit on the keys per region whose order of servers is cached. */
@@ -252,8 +256,9 @@
     const layoutCache = new Map<string, CachedLayout>();
 
     /**
-     * Part of the requests that a server without a rate limit could take which this one accepts. In steps of a factor of
-     * two, so that all instances use the same weights and keys stay in place while limits change a little.
+     * Part of the requests that this instance would send to a server without a rate limit which it may send to this one.
+     * In steps of a factor of two, so that instances with about the same share use the same weights, and keys stay in
+     * place while limits change a little.
      */
     const keyWeight = (
         { server, rateLimit }: TrackedServer,
@@ -264,9 +269,12 @@
         if (limit === undefined) {
             return 1;
         }
-        const usualPerSecond = server.slots * 1_000 / usualWorkMillis;
-        return 2
-            ** Math.round(Math.log2(Math.max(minKeyWeight, Math.min(1, limit.requestsPerSecond / usualPerSecond))));
+        const share = view.rateLimitShare(limit, server);
+        if (share === 0) {
+            return unusableKeyWeight;
+        }
+        const usualPerSecond = server.slots * 1_000 / usualWorkMillis / view.regionInstanceCount();
+        return 2 ** Math.round(Math.log2(Math.max(minKeyWeight, Math.min(1, share / usualPerSecond))));
     };
 
     /** Servers of a service grouped by region; cached until the pool's list or a weight changes. */
--- a/packages/endivebridge-traffic/src/__tests__/unit/RateLimits.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/RateLimits.test.ts
@@ -63,6 +63,7 @@
         const shares = new Map<string, number>();
         return makePlacementSample(servers, {
             region: own.region,
+            regionInstanceCount: () => sharers.filter(({ region }) => region === own.region).length,
             rateLimitShare: (limit, server) => {
                 const key = `${server.id} ${limit.requestsPerSecond} ${limit.turn}`;
                 const share = shares.get(key) ?? computeRateLimitShare(own, others, server, limit);
@@ -163,6 +164,42 @@
     });
 }
 
+test("many instances use a rate limit of few requests, though each gets few requests for the server", t => {
+    const sharers = makeSharers(65);
+    const limitedCount = 20;
+    const requestsPerSecond = 2;
+    const servers = range(30).map(index => ({ id: `s${index}` }));
+    const instances = makeInstances(sharers, servers).filter((_instance, index) => sharers[index]!.region === "fraser");
+    for (const { pool } of instances) {
+        range(limitedCount).forEach(index =>
+            pool.get(`s${index}`)!.rateLimit.record({ requestsPerSecond, atMillis: 0 }, 0)
+        );
+    }
+    let limitedSends = 0;
+    const seconds = 30;
+    for (let nowMillis = 0; nowMillis < seconds * 1_000; nowMillis += 60) {
+        instances.forEach(({ placement }, index) => {
+            const chosen = placement.choose({
+                route: route({}),
+                service: "desk",
+                keyHash: hashText(`key ${hashText(`${nowMillis} ${index}`) % 3_000}`),
+                triedServers: new Set(),
+                waitedShare: 0,
+                isFirstAttempt: true,
+                latestSendMillis: Infinity
+            }, nowMillis);
+            if (typeof chosen !== "string") {
+                placement.reserve(chosen, nowMillis);
+                chosen.tracked.ownInFlight -= 1;
+                limitedSends += Number(chosen.tracked.server.id.slice(1)) < limitedCount ? 1 : 0;
+            }
+        });
+    }
+    const usedShare = limitedSends / (limitedCount * requestsPerSecond * seconds);
+    // All servers are used at five sixths, half of the requests find no token, and a fifth is left to other regions.
+    t.true(usedShare > 5 / 6 / 2 * 0.8 && usedShare <= 1, `${usedShare} of the limits`);
+});
+
 test("a hedge is sent only within the rate limit of its server", t => {
     const { pool, placement } = makePlacementSample([{ id: "s1" }]);
     pool.get("s1")!.rateLimit.record({ requestsPerSecond: 1, atMillis: 0 }, 0);
--- a/packages/endivebridge-traffic/src/__tests__/unit/Samples.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/Samples.ts
@@ -88,6 +88,7 @@
         roundTripMillis: () => 110,
         coldRateSharerCount: () => 1,
         rateLimitShare: limit => limit.requestsPerSecond,
+        regionInstanceCount: () => 1,
         estimates: makeServiceTimeEstimates(),
         usualWorkMillis: () => 100,
         balance,
