--- a/packages/endivebridge-gateway/src/InstanceCount.ts
+++ b/packages/endivebridge-gateway/src/InstanceCount.ts
@@ -17,9 +17,13 @@
 
 /**
  * Creates a function that counts the instances which share a limit, this one included. The count is infinite, so that
- * the own share is 0, while the other instances are not known.
+ * the own share is 0, while the other instances are not known. An instance that starts while the platform lists no other
+ * one counts as alone at once, since it may be the only one that serves its callers.
  */
 export function makeInstanceCount(members: Members, startedMillis: number): () => number {
-    return () =>
-        knowsOtherInstances(members, startedMillis, monotonicMillis()) ? members.allRecords().length + 1 : Infinity;
+    return () => {
+        const knownCount = members.allRecords().length;
+        const isAlone = knownCount === 0 && members.isListed();
+        return isAlone || knowsOtherInstances(members, startedMillis, monotonicMillis()) ? knownCount + 1 : Infinity;
+    };
 }
