Queue: offer queued requests the tokens of rate limits before new requests

A new request was placed before all queued ones, since queued requests had been offered every slot that became free. Tokens of a rate limit become available with time, so that a less urgent request that arrived at the right moment took the token for which a more urgent one waited.

--- a/packages/endivebridge-traffic/src/RequestQueue.ts
+++ b/packages/endivebridge-traffic/src/RequestQueue.ts
@@ -47,6 +47,8 @@
 const minBusyMillis = 150;
 /** Maximum placement attempts per pass; bounds the CPU time that a long queue costs. */
 const maxPlacementTriesPerPass = 64;
+/** Number of queued requests, the most urgent ones, that are offered a server before a new request is. */
+const maxTriesBeforeNewRequest = 4;
 /** Shortest and longest delay that a refused caller is asked to wait before a retry. */
 const minRetryAfterMillis = 100;
 const maxRetryAfterMillis = 2_000;
@@ -150,7 +152,11 @@
     return {
         submit: (waiter, nowMillis) => {
             const line = queueOf(waiter.service);
-            // Queued requests were offered every slot that became free, so none of them can use one that is free now.
+            // Queued requests were offered every slot that became free, but not a token that has become available since.
+            line.waiters.slice(0, maxTriesBeforeNewRequest)
+                .filter(first => tryPlaceAndCount(line, first, nowMillis))
+                .forEach(first => remove(line, first));
+            updateWaitingSince(line, nowMillis);
             if (tryPlaceAndCount(line, waiter, nowMillis)) {
                 return;
             }
--- a/packages/endivebridge-traffic/src/__tests__/unit/RateLimits.test.ts
+++ b/packages/endivebridge-traffic/src/__tests__/unit/RateLimits.test.ts
@@ -5,6 +5,7 @@
     type BackendServer,
     computeRateLimitShare,
     hashText,
+    makeRequestQueue,
     makeServerRateLimit,
     type Placed,
     type RateLimitSharer
@@ -169,7 +170,10 @@
     const limitedCount = 20;
     const requestsPerSecond = 2;
     const servers = range(30).map(index => ({ id: `s${index}` }));
-    const instances = makeInstances(sharers, servers).filter((_instance, index) => sharers[index]!.region === "fraser");
+    const everywhere = makeInstances(sharers, servers);
+    const instances = range(sharers.length)
+        .filter(index => sharers[index]!.region === "fraser")
+        .map(index => everywhere[index]!);
     for (const { pool } of instances) {
         range(limitedCount).forEach(index =>
             pool.get(`s${index}`)!.rateLimit.record({ requestsPerSecond, atMillis: 0 }, 0)
@@ -200,6 +204,57 @@
     t.true(usedShare > 5 / 6 / 2 * 0.8 && usedShare <= 1, `${usedShare} of the limits`);
 });
 
+test("the least urgent requests are refused when rate limits do not allow all", t => {
+    const { pool, placement } = makePlacementSample([{ id: "s1" }, { id: "s2" }]);
+    for (const id of ["s1", "s2"]) {
+        pool.get(id)!.rateLimit.record({ requestsPerSecond: 3, atMillis: 0 }, 0);
+    }
+    const queue = makeRequestQueue();
+    const refused: Record<number, number> = { 0: 0, 2: 0 };
+    const submit = (priority: number, index: number, nowMillis: number) => {
+        let isWithinRateLimits = true;
+        const latestSendMillis = nowMillis + 1_500;
+        queue.submit({
+            service: "desk",
+            priority,
+            isRetryAfterRefusal: false,
+            latestOnTimeSendMillis: nowMillis + 500,
+            latestSendMillis,
+            tryPlace: atMillis => {
+                const chosen = placement.choose({
+                    route: route({ priority }),
+                    service: "desk",
+                    keyHash: hashText(`key ${index}`),
+                    triedServers: new Set(),
+                    waitedShare: (atMillis - nowMillis) / 500,
+                    isFirstAttempt: true,
+                    latestSendMillis
+                }, atMillis);
+                isWithinRateLimits = chosen !== "rate limited";
+                if (typeof chosen === "string") {
+                    return false;
+                }
+                placement.reserve(chosen, atMillis);
+                chosen.tracked.ownInFlight -= 1;
+                return true;
+            },
+            isWithinRateLimits: () => isWithinRateLimits,
+            refuse: () => refused[priority]! += 1
+        }, nowMillis);
+    };
+    for (let nowMillis = 0; nowMillis < 20_000; nowMillis += 25) {
+        if (nowMillis % 250 === 0) {
+            submit(0, nowMillis, nowMillis);
+        }
+        if (nowMillis % 100 === 0) {
+            submit(2, nowMillis + 1, nowMillis);
+        }
+        queue.serveAll(nowMillis);
+    }
+    t.is(refused[0], 0, "of 80 urgent requests");
+    t.true(refused[2]! > 0, "of 200 less urgent requests");
+});
+
 test("a hedge is sent only within the rate limit of its server", t => {
     const { pool, placement } = makePlacementSample([{ id: "s1" }]);
     pool.get("s1")!.rateLimit.record({ requestsPerSecond: 1, atMillis: 0 }, 0);
