Platform client: versions and conditional writes hold across the table's return from a copy

The product's own table service had the same fault as the users' store: after a return from a copy, row versions are given out again. A row written again at the version that a reader had cached was answered from its cache for good (304), and a write that was planned on a lost row replaced the row written since. The count of returns, a header of all answers, now goes before the version: versions only grow, conditional writes name the count, cached rows of an earlier count are read again.

--- /dev/null
+++ b/packages/endivebridge-bench/src/__tests__/integration/TableReturn.test.ts
@@ -0,0 +1,43 @@
+// Guards against rows of the platform's table that are lost or mistaken when the table returns from a copy: versions go
+// back and are given out again.
+import { makePlatformClient } from "@endivebridge/platform";
+import { startPlatformStandIn } from "@endivebridge/standins";
+import test, { type ExecutionContext } from "ava";
+import { Effect, Result } from "effect";
+
+/** Stand-in with a row at version 2, and a copy in which the row has version 1. */
+async function startReturningTable(t: ExecutionContext) {
+    const platform = await startPlatformStandIn();
+    t.teardown(platform.close);
+    const makeClient = () => makePlatformClient({ url: `http://127.0.0.1:${platform.port}`, timeoutMillis: 2_000 });
+    const [reader, writer] = [makeClient(), makeClient()];
+    const write = (version: number, value: string) => Effect.runPromise(writer.writeRow("row", version, value));
+    const first = await write(0, "first");
+    platform.keepCopy();
+    await write(first.version, "lost");
+    return { platform, reader, writer };
+}
+
+test("a row that was written again after the table returned is not taken for the cached one", async t => {
+    const { platform, reader, writer } = await startReturningTable(t);
+    const before = await Effect.runPromise(reader.readRow("row"));
+    t.is(before?.value, "lost");
+    platform.returnToCopy();
+    const returned = await Effect.runPromise(writer.readRow("row"));
+    t.is(returned?.value, "first");
+    await Effect.runPromise(writer.writeRow("row", returned!.version, "again"));
+    const after = await Effect.runPromise(reader.readRow("row"));
+    t.is(after?.value, "again");
+    t.true(after!.version > before!.version, "the version has grown");
+});
+
+test("a write planned before the table returned does not replace a row that was written since", async t => {
+    const { platform, reader, writer } = await startReturningTable(t);
+    const before = await Effect.runPromise(reader.readRow("row"));
+    platform.returnToCopy();
+    const returned = await Effect.runPromise(writer.readRow("row"));
+    await Effect.runPromise(writer.writeRow("row", returned!.version, "again"));
+    const written = await Effect.runPromise(Effect.result(reader.writeRow("row", before!.version, "stale")));
+    t.true(Result.isFailure(written) && written.failure.kind === "conflict");
+    t.is((await Effect.runPromise(writer.readRow("row")))?.value, "again");
+});
--- a/packages/endivebridge-daemon/src/Heartbeat.ts
+++ b/packages/endivebridge-daemon/src/Heartbeat.ts
@@ -41,7 +41,7 @@
         leaving: context.shutdown.read(),
         struckRequests: [...struck, ...context.poison.quarantined(monotonicMillis())]
             .map(({ fingerprint, servers }) => ({ fingerprint, servers: [...servers] })),
-        assignmentVersion: context.assignment.read()?.version ?? 0,
+        assignmentVersion: BigInt(context.assignment.read()?.version ?? 0),
         time: context.timeLine.clock.now(),
         loads: [...context.services.values()].map(describeLoad)
     });
@@ -105,7 +105,7 @@
     if (peer === undefined || !isSibling || member?.incarnation !== request.incarnation) {
         return 0;
     }
-    if (member.suspectedBy !== undefined || (assignment?.version ?? 0) > request.assignmentVersion) {
+    if (member.suspectedBy !== undefined || BigInt(assignment?.version ?? 0) > request.assignmentVersion) {
         return 0;
     }
     peer.leasePromisedAtMillis = monotonicMillis();
@@ -129,6 +129,6 @@
         mintEpoch: context.journal.currentEpoch(),
         time: context.timeLine.clock.now(),
         leaseMillis: promiseLeaseMillis(context, peer, request),
-        assignmentVersion: context.assignment.read()?.version ?? 0
+        assignmentVersion: BigInt(context.assignment.read()?.version ?? 0)
     };
 }
--- a/packages/endivebridge-daemon/src/PeerTask.ts
+++ b/packages/endivebridge-daemon/src/PeerTask.ts
@@ -36,7 +36,7 @@
         );
         peer.failing = false;
         recordPeerState(context, peer, answer);
-        if (answer.leaseMillis > 0 && answer.assignmentVersion <= (context.assignment.read()?.version ?? 0)) {
+        if (answer.leaseMillis > 0 && answer.assignmentVersion <= BigInt(context.assignment.read()?.version ?? 0)) {
             context.lease.confirmBySibling(peer.instance, sentAtMillis, answer.leaseMillis);
         }
         if (answer.configurationVersion > (context.configuration.read()?.version ?? 0)) {
--- a/packages/endivebridge-platform/src/PlatformClient.ts
+++ b/packages/endivebridge-platform/src/PlatformClient.ts
@@ -1,4 +1,4 @@
-import { httpExchange, type HttpResponse, monotonicMillis } from "@endivebridge/shared";
+import { httpExchange, type HttpResponse, monotonicMillis, type Teardown } from "@endivebridge/shared";
 import { Effect, Result, Schema } from "effect";
 import { randomBytes } from "node:crypto";
 import { Agent } from "node:http";
@@ -16,7 +16,10 @@
 /** A row of the table service with the version that a conditional write needs. */
 export interface TableRow {
     readonly key: string;
-    /** Version for the next conditional write; 0 if the row does not exist. */
+    /**
+     * Version for the next conditional write; 0 if the row does not exist. A version that was read after the table has
+     * returned from a copy is larger than any that was read before.
+     */
     readonly version: number;
     readonly value: unknown;
 }
@@ -36,6 +39,10 @@
     readonly writeObject: (key: string, body: Buffer) => Effect.Effect<void, PlatformFailure>;
     readonly listObjects: (prefix: string) => Effect.Effect<readonly string[], PlatformFailure>;
     readonly listInstances: (viewer: string) => Effect.Effect<readonly ListedInstance[], PlatformFailure>;
+    /** Newest count of the table's returns from a copy in an answer. */
+    readonly era: () => number;
+    /** Registers a listener for the table's return from a copy, at which rows of before may be lost. */
+    readonly registerEraListener: (listener: (era: number) => void) => Teardown;
     /** Start of the first failed attempt since the platform last responded; undefined while it responds. */
     readonly failedSinceMillis: () => number | undefined;
     /** Start of the latest failed attempt; undefined while the platform responds. */
@@ -55,6 +62,7 @@
 }
 
 interface CachedResponse {
+    readonly era: number;
     readonly etag: string;
     readonly answer: HttpResponse;
 }
@@ -90,17 +98,45 @@
     });
 }
 
+/** Header with the count of the table's returns from a copy, at which versions go back; absent without any. */
+const eraHeader = "table-era";
+/** Versions within an era are smaller. */
+const versionsPerEra = 2 ** 32;
+
+function parseEra(answer: HttpResponse): number {
+    return Number(answer.headers[eraHeader] ?? 0);
+}
+
 function parseVersion(answer: HttpResponse): number {
-    return Number(String(answer.headers.etag ?? "\"0\"").replaceAll("\"", ""));
+    const version = Number(String(answer.headers.etag ?? "\"0\"").replaceAll("\"", ""));
+    return parseEra(answer) * versionsPerEra + version;
+}
+
+/** Condition that a row still has a version, which fails if the table has returned from a copy since. */
+function versionPrecondition(version: number): Record<string, string> {
+    return {
+        "if-match": `"${version % versionsPerEra}"`,
+        [eraHeader]: String(Math.floor(version / versionsPerEra))
+    };
 }
 
 /** Creates a client of the platform's HTTP API that keeps its connections open. */
 export function makePlatformClient(options: PlatformOptions): PlatformClient {
     const agent = new Agent({ keepAlive: true, maxSockets: 16, timeout: 1_000 });
     const cachedResponses = new Map<string, CachedResponse>();
+    const eraListeners = new Set<(era: number) => void>();
+    let newestEra: number | undefined;
     let firstFailureMillis: number | undefined;
     let lastFailureMillis: number | undefined;
 
+    const recordEra = (era: number) => {
+        const hasReturned = newestEra !== undefined && era > newestEra;
+        newestEra = Math.max(newestEra ?? 0, era);
+        if (hasReturned) {
+            eraListeners.forEach(listener => listener(era));
+        }
+    };
+
     const call = (method: string, path: string, headers: Record<string, string> = {}, body?: string | Buffer) =>
         Effect.suspend(() => {
             const startedAtMillis = monotonicMillis();
@@ -118,6 +154,7 @@
                     }
                     firstFailureMillis = undefined;
                     lastFailureMillis = undefined;
+                    recordEra(parseEra(answer));
                     return Effect.succeed(answer);
                 })
             );
@@ -127,14 +164,21 @@
     const getIfChanged = (path: string) =>
         Effect.gen(function*() {
             const cached = cachedResponses.get(path);
-            const answer = yield* call("GET", path, cached === undefined ? {} : { "if-none-match": cached.etag });
+            const unconditional = call("GET", path);
+            let answer = cached === undefined
+                ? yield* unconditional
+                : yield* call("GET", path, { "if-none-match": cached.etag });
             if (answer.status === 304 && cached !== undefined) {
-                return cached.answer;
+                if (parseEra(answer) === cached.era) {
+                    return cached.answer;
+                }
+                // The tag is that of another body, since versions are given out again.
+                answer = yield* unconditional;
             }
             const { etag } = answer.headers;
             cachedResponses.delete(path);
             if (etag !== undefined) {
-                cachedResponses.set(path, { etag, answer });
+                cachedResponses.set(path, { era: parseEra(answer), etag, answer });
             }
             if (cachedResponses.size > maxCachedResponses) {
                 cachedResponses.delete(cachedResponses.keys().next().value!);
@@ -179,7 +223,7 @@
             const body = JSON.stringify({ writeIds, value });
             const precondition: Record<string, string> = version === 0
                 ? { "if-none-match": "*" }
-                : { "if-match": `"${version}"` };
+                : versionPrecondition(version);
             const attempt = Effect.gen(function*() {
                 const answer = yield* call("PUT", `/table/${encodeURIComponent(key)}`, precondition, body);
                 if (answer.status === 412) {
@@ -233,8 +277,14 @@
         insertRows,
         scanRows: prefix =>
             Effect.gen(function*() {
-                const rows = yield* getJson(`/table?prefix=${encodeURIComponent(prefix)}`, TableRowsSchema);
-                return rows.map(row => ({ ...row, value: (row.value as Envelope).value }));
+                const answer = yield* call("GET", `/table?prefix=${encodeURIComponent(prefix)}`);
+                const rows = yield* decode(TableRowsSchema, yield* parseJson(answer.body));
+                const firstVersion = parseEra(answer) * versionsPerEra;
+                return rows.map(row => ({
+                    ...row,
+                    version: firstVersion + row.version,
+                    value: (row.value as Envelope).value
+                }));
             }),
         readObject: key =>
             Effect.map(
@@ -248,6 +298,11 @@
                 const answer = yield* getIfChanged(`/instances?viewer=${encodeURIComponent(viewer)}`);
                 return yield* decode(ListedInstances, yield* parseJson(answer.body));
             }),
+        era: () => newestEra ?? 0,
+        registerEraListener: listener => {
+            eraListeners.add(listener);
+            return () => eraListeners.delete(listener);
+        },
         failedSinceMillis: () => firstFailureMillis,
         lastFailedAttemptMillis: () => lastFailureMillis
     };
--- a/packages/endivebridge-standins/src/PlatformStandIn.ts
+++ b/packages/endivebridge-standins/src/PlatformStandIn.ts
@@ -31,6 +31,9 @@
     readonly setPeerAddressMappings: (views: Readonly<Record<string, Readonly<Record<string, string>>>>) => void;
     readonly record: () => PlatformRecord;
     readonly rows: () => ReadonlyMap<string, StoredRow>;
+    /** Copies the table; `returnToCopy` loses all that was written since. */
+    readonly keepCopy: () => void;
+    readonly returnToCopy: () => void;
     readonly close: () => Promise<void>;
 }
 
@@ -80,7 +83,10 @@
 
 /** Starts the stand-in on a loopback port; port 0 picks a free one. */
 export async function startPlatformStandIn(port = 0, random: () => number = Math.random): Promise<PlatformStandIn> {
-    const rows = new Map<string, StoredRow>();
+    let rows = new Map<string, StoredRow>();
+    let copiedRows: ReadonlyMap<string, StoredRow> = new Map();
+    /** Number of times that the table has returned to its copy. */
+    let era = 0;
     const objects = new Map<string, Buffer>();
     const faults: PlatformFaults = { isDown: false, delayMillis: 0, lostResponseShare: 0, listLagMillis: 0 };
     let listVersions: InstanceListVersion[] = [{ version: 0, setAtMillis: Number.NEGATIVE_INFINITY, instances: [] }];
@@ -95,6 +101,7 @@
         response.writeHead(status, {
             "content-type": "application/json",
             "content-length": Buffer.byteLength(body),
+            "table-era": String(era),
             ...(version === undefined ? {} : { etag: `"${version}"` })
         });
         response.end(body);
@@ -106,6 +113,9 @@
             return stored === undefined;
         }
         const match = incoming.headers["if-match"];
+        if (Number(incoming.headers["table-era"] ?? era) !== era) {
+            return false;
+        }
         return match === undefined || match === `"${stored?.version ?? 0}"`;
     };
 
@@ -251,6 +261,11 @@
             peakReadsPerSecond: readCounter.peak()
         }),
         rows: () => rows,
+        keepCopy: () => copiedRows = new Map(rows),
+        returnToCopy: () => {
+            rows = new Map(copiedRows);
+            era += 1;
+        },
         close: () =>
             new Promise(resolve => {
                 server.closeAllConnections();
