Daemon: do not run a write again whose row the platform's table has lost

A write under an idempotency key runs where no row of the key exists. After the table had returned from a copy without the row, another instance ran the write a second time: in the test a resend to four instances got one 200 from a new run and three 502. A row is created only in the era in which it was found missing. An outcome whose running row was lost is written all the same.

What remains: if the instance that ran the write ends before it has noticed the return, nobody knows of the run.

--- a/packages/endivebridge-bench/src/__tests__/integration/TableReturn.test.ts
+++ b/packages/endivebridge-bench/src/__tests__/integration/TableReturn.test.ts
@@ -4,6 +4,8 @@
 import { startPlatformStandIn } from "@endivebridge/standins";
 import test, { type ExecutionContext } from "ava";
 import { Effect, Result } from "effect";
+import type { Testbed } from "../../Testbed";
+import { startSmallTestbed, waitUntil } from "./SmallTestbed";
 
 /** Stand-in with a row at version 2, and a copy in which the row has version 1. */
 async function startReturningTable(t: ExecutionContext) {
@@ -41,3 +43,40 @@
     t.true(Result.isFailure(written) && written.failure.kind === "conflict");
     t.is((await Effect.runPromise(writer.readRow("row")))?.value, "again");
 });
+
+interface WriteResult {
+    readonly status: number;
+    readonly ran: string | null;
+}
+
+async function writeWithKey(testbed: Testbed, instance: number, key: string): Promise<WriteResult> {
+    const { callerAddress } = testbed.instances[instance]!;
+    const response = await fetch(`http://${callerAddress}/circulation/checkouts`, {
+        method: "POST",
+        body: key,
+        headers: { "idempotency-key": key, "endivebridge-deadline-millis": "3000" }
+    });
+    await response.arrayBuffer();
+    return { status: response.status, ran: response.headers.get("endivebridge-ran") };
+}
+
+const countRuns = (testbed: Testbed) => testbed.records().reduce((sum, { ran }) => sum + ran, 0);
+
+test.serial("a write under an idempotency key does not run again after the table has lost its row", async t => {
+    const testbed = await startSmallTestbed();
+    try {
+        const isServing = async () => (await writeWithKey(testbed, 1, `warm-up-${Math.random()}`)).status === 200;
+        t.true(await waitUntil(isServing));
+        testbed.platform.keepCopy();
+        t.is((await writeWithKey(testbed, 0, "once")).status, 200);
+        const runs = countRuns(testbed);
+        testbed.platform.returnToCopy();
+        const resends = await Promise.all([0, 1, 2, 3].map(instance => writeWithKey(testbed, instance, "once")));
+        t.true(resends.every(({ status, ran }) => status === 200 || ran === "no"), JSON.stringify(resends));
+        t.true(await waitUntil(async () => (await writeWithKey(testbed, 3, "once")).status === 200));
+        t.is(countRuns(testbed), runs);
+    }
+    finally {
+        await testbed.close();
+    }
+});
--- a/packages/endivebridge-core/src/EndivebridgeJournal.ts
+++ b/packages/endivebridge-core/src/EndivebridgeJournal.ts
@@ -19,7 +19,7 @@
     readonly mintEpoch: number;
     readonly deferred: Deferred.Deferred<OperationOutcome<Answer>>;
     outcome: OperationOutcome<Answer> | undefined;
-    isSaved: boolean;
+    savedAtMillis: number | undefined;
 }
 
 /** Finished operation in the form that is saved outside this process. */
@@ -38,6 +38,8 @@
     /** Finished operations that are not saved yet, oldest first. */
     readonly unsaved: (maxOperations: number) => readonly EndedOperation<Answer>[];
     readonly markSaved: (operations: readonly string[]) => void;
+    /** Marks the operations that were saved since the given time as not saved, since what was written may be lost. */
+    readonly markLost: (savedSinceMillis: number) => void;
     readonly size: () => number;
     readonly inDoubt: () => readonly string[];
 }
@@ -63,7 +65,7 @@
             mintEpoch: id.mintEpoch,
             deferred: Deferred.makeUnsafe(),
             outcome: undefined,
-            isSaved: false
+            savedAtMillis: undefined
         };
         entries.set(text, entry);
         const finish = (outcome: OperationOutcome<Answer>, ran: boolean) => {
@@ -110,8 +112,8 @@
         has: text => entries.has(text),
         unsaved: maxOperations => {
             const unsavedOperations: EndedOperation<Answer>[] = [];
-            for (const [operation, { fingerprint, outcome, isSaved }] of entries) {
-                if (!isSaved && outcome !== undefined) {
+            for (const [operation, { fingerprint, outcome, savedAtMillis }] of entries) {
+                if (savedAtMillis === undefined && outcome !== undefined) {
                     unsavedOperations.push({ operation, fingerprint, outcome });
                 }
                 if (unsavedOperations.length >= maxOperations) {
@@ -124,7 +126,14 @@
             for (const operation of operations) {
                 const entry = entries.get(operation);
                 if (entry !== undefined) {
-                    entry.isSaved = true;
+                    entry.savedAtMillis = options.nowMillis();
+                }
+            }
+        },
+        markLost: savedSinceMillis => {
+            for (const entry of entries.values()) {
+                if (entry.savedAtMillis !== undefined && entry.savedAtMillis >= savedSinceMillis) {
+                    entry.savedAtMillis = undefined;
                 }
             }
         },
--- a/packages/endivebridge-daemon/src/Context.ts
+++ b/packages/endivebridge-daemon/src/Context.ts
@@ -24,6 +24,7 @@
 import type { Metrics } from "./Metrics";
 import type { Peer } from "./Peer";
 import type { Answer } from "./SteeringRequest";
+import type { WrittenRows } from "./TableReturn";
 import type { TimeLine } from "./TimeLine";
 
 /** The configuration that this instance currently applies. */
@@ -99,6 +100,9 @@
     readonly loadReports: Map<string, LoadReport>;
     readonly clientBlocks: { current: ClientBlocks; };
     readonly shutdown: State<boolean>;
+    readonly writtenRows: WrittenRows;
+    /** When this instance noticed that the platform's table had returned from a copy; undefined before any return. */
+    readonly tableReturn: { atMillis: number | undefined; };
     /**
      * Monotonic time at which a sibling last appeared or changed its incarnation. Slots are redistributed after such a
      * change.
--- a/packages/endivebridge-daemon/src/Daemon.ts
+++ b/packages/endivebridge-daemon/src/Daemon.ts
@@ -31,6 +31,7 @@
 import { ownershipTask, releaseOwnership } from "./OwnershipTask";
 import { openPeerServer } from "./PeerServer";
 import { registerPeerTasks } from "./PeerTask";
+import { makeWrittenRows, registerRewriteAfterTableReturn } from "./TableReturn";
 import { makeTimeLine } from "./TimeLine";
 
 // Runs resumed fibers as microtasks, at the end of the current event rather than after the next event-loop poll.
@@ -102,6 +103,8 @@
         loadReports: new Map(),
         clientBlocks: { current: makeClientBlocks() },
         shutdown: makeState(false),
+        writtenRows: makeWrittenRows(),
+        tableReturn: { atMillis: undefined },
         siblingsChangedAtMillis: { current: 0 },
         fork: effect => Effect.runFork(effect, { scheduler: microtaskScheduler })
     };
@@ -186,6 +189,7 @@
     const context = makeContext(settings);
     const unregisterServices = registerServices(context);
     const unregisterPeers = registerPeerTasks(context);
+    const unregisterRewrite = registerRewriteAfterTableReturn(context);
     const peerServer = await openPeerServer(context);
     const callerServer = await openCallerServer(context);
     const stopTasks = startTasks(context);
@@ -195,6 +199,7 @@
         () => peerServer.close(),
         unregisterServices,
         unregisterPeers,
+        unregisterRewrite,
         stopTasks
     );
     context.log.info({ callers: settings.callers, peers: settings.peers, incarnation: context.incarnation }, "started");
--- a/packages/endivebridge-daemon/src/Operations.ts
+++ b/packages/endivebridge-daemon/src/Operations.ts
@@ -21,6 +21,7 @@
 } from "./OperationRows";
 import { makePeer, type Peer } from "./Peer";
 import type { Answer, SteeringRequest } from "./SteeringRequest";
+import { mayMissOperationRows, writeOwnRow } from "./TableReturn";
 
 /** Hash of a request's service, method, path and body; requests under one operation id must have the same hash. */
 export function requestFingerprint(request: SteeringRequest): string {
@@ -97,19 +98,24 @@
         const key = operationRowKey(text);
         const runner = runnerName(context);
         const fingerprint = requestFingerprint(request);
+        const era = context.platform.era();
+        if (mayMissOperationRows(context)) {
+            return yield* Effect.fail(steeringError("platformDown", "its table is being completed"));
+        }
         const begun = makeRunningRow(runner, fingerprint, operationRowExpiresAtEpochMillis(context));
-        const insertResult = yield* Effect.result(context.platform.writeRow(key, version, begun));
+        const insertResult = yield* Effect.result(context.platform.writeRow(key, version, begun, era));
         if (Result.isFailure(insertResult)) {
             const row = insertResult.failure.kind === "conflict" ? insertResult.failure.row : undefined;
             return row === undefined
                 ? yield* Effect.fail(steeringError("platformDown", "the operation could not be recorded"))
                 : yield* answerFromRow(request, row.value);
         }
+        context.writtenRows.record(key, begun);
         const task = Effect.gen(function*() {
             const outcome = toOutcome(yield* Effect.result(run()));
             const row = makeEndedRow(runner, { fingerprint, outcome }, operationRowExpiresAtEpochMillis(context));
-            const writeOutcome = Effect.ignore(context.platform.writeRow(key, insertResult.success.version, row));
-            context.fork(writeOutcome);
+            context.writtenRows.record(key, row);
+            context.fork(Effect.ignore(writeOwnRow(context, key, insertResult.success.version, row)));
             return outcome;
         });
         const completion = Deferred.makeUnsafe<OperationOutcome<Answer>>();
--- a/packages/endivebridge-platform/src/PlatformClient.ts
+++ b/packages/endivebridge-platform/src/PlatformClient.ts
@@ -30,9 +30,15 @@
     readonly scanRows: (prefix: string) => Effect.Effect<readonly TableRow[], PlatformFailure>;
     /**
      * Writes the row if it still has `version` (0: does not exist). If a response is lost, the call finds out whether
-     * the write took effect before it returns.
+     * the write took effect before it returns. With `era`, the row is created only if the table has not returned from a
+     * copy since that era; a version above 0 implies its era.
      */
-    readonly writeRow: (key: string, version: number, value: unknown) => Effect.Effect<TableRow, PlatformFailure>;
+    readonly writeRow: (
+        key: string,
+        version: number,
+        value: unknown,
+        era?: number
+    ) => Effect.Effect<TableRow, PlatformFailure>;
     /** Inserts rows that do not exist yet, atomically: all of them or none. */
     readonly insertRows: (rows: readonly NewRow[]) => Effect.Effect<void, PlatformFailure>;
     readonly readObject: (key: string) => Effect.Effect<Buffer | undefined, PlatformFailure>;
@@ -215,14 +221,19 @@
             return yield* Effect.fail<PlatformFailure>({ kind: "conflict", row });
         });
 
-    const writeRow = (key: string, version: number, value: unknown): Effect.Effect<TableRow, PlatformFailure> =>
+    const writeRow = (
+        key: string,
+        version: number,
+        value: unknown,
+        era?: number
+    ): Effect.Effect<TableRow, PlatformFailure> =>
         Effect.gen(function*() {
             const writeId = randomBytes(9).toString("base64url");
             const before = version === 0 ? undefined : yield* readEnvelope(key);
             const writeIds = [writeId, ...(before?.envelope.writeIds ?? [])].slice(0, maxStoredWriteIds);
             const body = JSON.stringify({ writeIds, value });
             const precondition: Record<string, string> = version === 0
-                ? { "if-none-match": "*" }
+                ? { "if-none-match": "*", ...era === undefined ? {} : { [eraHeader]: String(era) } }
                 : versionPrecondition(version);
             const attempt = Effect.gen(function*() {
                 const answer = yield* call("PUT", `/table/${encodeURIComponent(key)}`, precondition, body);
--- a/packages/endivebridge-standins/src/PlatformStandIn.ts
+++ b/packages/endivebridge-standins/src/PlatformStandIn.ts
@@ -109,13 +109,13 @@
 
     const isPreconditionMet = (incoming: IncomingMessage, key: string): boolean => {
         const stored = rows.get(key);
+        if (Number(incoming.headers["table-era"] ?? era) !== era) {
+            return false;
+        }
         if (incoming.headers["if-none-match"] === "*") {
             return stored === undefined;
         }
         const match = incoming.headers["if-match"];
-        if (Number(incoming.headers["table-era"] ?? era) !== era) {
-            return false;
-        }
         return match === undefined || match === `"${stored?.version ?? 0}"`;
     };
 
