Daemon: write a configuration in force again that the platform's table has lost

After the table had returned from a copy, the version in force at the instances was missing for good: an operator's change of it was refused ("there is no version 2"), and an instance that had not yet read it stopped at the gap. An instance that notices a return now reads the latest row and writes its own version again where it is newer. The test waited 15 s for the row in vain before.

--- a/packages/endivebridge-bench/src/__tests__/integration/TableReturn.test.ts
+++ b/packages/endivebridge-bench/src/__tests__/integration/TableReturn.test.ts
@@ -5,7 +5,7 @@
 import test, { type ExecutionContext } from "ava";
 import { Effect, Result } from "effect";
 import type { Testbed } from "../../Testbed";
-import { startSmallTestbed, waitUntil } from "./SmallTestbed";
+import { type InstanceView, startSmallTestbed, waitUntil } from "./SmallTestbed";
 
 /** Stand-in with a row at version 2, and a copy in which the row has version 1. */
 async function startReturningTable(t: ExecutionContext) {
@@ -80,3 +80,22 @@
         await testbed.close();
     }
 });
+
+test.serial("a configuration in force is written again to a table that has lost it", async t => {
+    const testbed = await startSmallTestbed();
+    try {
+        const keyOf = (version: number) => `configuration/${String(version).padStart(10, "0")}`;
+        const initial = testbed.platform.rows().get(keyOf(1))!.value as { readonly value: { readonly text: string; }; };
+        testbed.platform.keepCopy();
+        await Effect.runPromise(testbed.platformClient.writeRow(keyOf(2), 0, initial.value));
+        const isInForce = async () =>
+            (await Promise.all(testbed.instances.map(each => testbed.queryOperatorApi(each, "operator/instance"))))
+                .every(view => (view as InstanceView).configurationVersion === 2);
+        t.true(await waitUntil(isInForce));
+        testbed.platform.returnToCopy();
+        t.true(await waitUntil(() => Promise.resolve(testbed.platform.rows().has(keyOf(2)))));
+    }
+    finally {
+        await testbed.close();
+    }
+});
--- a/packages/endivebridge-daemon/src/ConfigurationTask.ts
+++ b/packages/endivebridge-daemon/src/ConfigurationTask.ts
@@ -34,23 +34,38 @@
     return true;
 }
 
-const applyNewerVersions = (context: Context) =>
+/**
+ * Reads the latest row, and writes the version in force again where a table that has returned from a copy has lost it.
+ * Readers stop at the first missing version and operators edit the latest one, so that a lost version would block both.
+ */
+const reconcileWithLatestRow = (context: Context) =>
     Effect.gen(function*() {
-        const currentVersion = context.configuration.read()?.version ?? 0;
-        if (currentVersion === 0) {
-            const rows = yield* context.platform.scanRows("configuration/");
-            const latestRow = rows[rows.length - 1];
-            if (latestRow !== undefined) {
-                applyConfiguration(
-                    context,
-                    Number(latestRow.key.split("/")[1]),
-                    configurationRowText(latestRow.value),
-                    "platform"
-                );
-            }
+        const rows = yield* context.platform.scanRows("configuration/");
+        const latestRow = rows[rows.length - 1];
+        const latestVersion = latestRow === undefined ? 0 : Number(latestRow.key.split("/")[1]);
+        const inForce = context.configuration.read();
+        if (inForce !== undefined && inForce.version > latestVersion) {
+            const { version, text } = inForce;
+            context.log.warn(
+                { version, latestVersion },
+                "the table has lost the configuration in force; written again"
+            );
+            yield* context.platform.writeRow(configurationKey(version), 0, {
+                text,
+                author: "restored by an instance",
+                acceptedAtEpochMillis: Date.now(),
+                previousVersion: latestVersion
+            });
             return;
         }
-        for (let version = currentVersion + 1;; version += 1) {
+        if (latestRow !== undefined) {
+            applyConfiguration(context, latestVersion, configurationRowText(latestRow.value), "platform");
+        }
+    });
+
+const applyNewerVersions = (context: Context) =>
+    Effect.gen(function*() {
+        for (let version = (context.configuration.read()?.version ?? 0) + 1;; version += 1) {
             const row = yield* context.platform.readRow(configurationKey(version));
             if (row === undefined) {
                 return;
@@ -67,8 +82,18 @@
 /** Polls the platform's table for newer accepted configurations until interrupted. */
 export const configurationTask = (context: Context): Effect.Effect<never> =>
     Effect.gen(function*() {
+        let reconciledEra: number | undefined;
+        const update = Effect.gen(function*() {
+            const { era } = context.platform;
+            if (context.configuration.read() === undefined || reconciledEra !== era()) {
+                yield* reconcileWithLatestRow(context);
+                reconciledEra = era();
+                return;
+            }
+            yield* applyNewerVersions(context);
+        });
         for (;;) {
-            yield* runTaskIteration(context, "configuration", applyNewerVersions(context));
+            yield* runTaskIteration(context, "configuration", update);
             yield* Effect.sleep(context.settings.timing.configurationMillis * (0.9 + Math.random() * 0.2));
         }
     });
