--- a/packages/endivebridge-daemon/src/BackendConnections.ts
+++ b/packages/endivebridge-daemon/src/BackendConnections.ts
@@ -1,5 +1,5 @@
 import { GuardedAgent } from "@endivebridge/shared";
-import type { Agent } from "node:http";
+import { Agent } from "node:http";
 
 /** HTTP agents for backend servers, with one connection pool per server. */
 export interface BackendConnections {
@@ -40,7 +40,7 @@
                 scheduling: "lifo",
                 timeout: options.idleMillis
             }),
-            unpooled: new GuardedAgent({ keepAlive: false, maxSockets: options.connectionsPerServer })
+            unpooled: new Agent({ keepAlive: false, maxSockets: options.connectionsPerServer })
         };
         agents.set(server, created);
         return created;
