Rate limits: no share before the others can know of a new instance

A new instance used its share at once, while the others still used theirs as before: with two instances, one in the server's region, 1.8 times the limit for as long as the first message takes. The share is now 0 for 2.7 s after the start, longer than the longest interval between messages. In the test the new instance had 2 of 4 a second at once, now 0.

--- a/packages/endivebridge-gateway/src/RateLimitSharing.ts
+++ b/packages/endivebridge-gateway/src/RateLimitSharing.ts
@@ -10,6 +10,8 @@
 
 /** Interval at which the list of instances that share the limits is determined anew. */
 const refreshIntervalMillis = 500;
+/** Within this time after its start the others hear of an instance and reduce their shares. */
+const announcementMillis = 2_700;
 
 /** Shares of this instance in the rate limits of backend servers. */
 export interface RateLimitShares {
@@ -21,18 +23,20 @@
 
 /**
  * Creates the shares of one instance. Members that may still run count, also while they are silent. The share is 0 while
- * the other instances are not known. Each placement asks for shares, so they are cached while the instances stay the same.
+ * the other instances are not known, or cannot know of this one yet. Each placement asks for shares, so they are cached
+ * while the instances stay the same.
  */
 export function makeRateLimitShares(own: MemberRecord, members: Members, startedMillis: number): RateLimitShares {
     let sharers: readonly MemberRecord[] = [];
     let regionInstanceCount = 1;
-    let knowsOthers = false;
+    let mayUseShares = false;
     let refreshedAtMillis = -Infinity;
     const shares = new Map<string, { readonly limit: RateLimit; readonly share: number; }>();
 
     const refreshSharers = (nowMillis: number) => {
         refreshedAtMillis = nowMillis;
-        knowsOthers = knowsOtherInstances(members, startedMillis, nowMillis);
+        mayUseShares = nowMillis - startedMillis >= announcementMillis
+            && knowsOtherInstances(members, startedMillis, nowMillis);
         const current = members.possiblyRunning(nowMillis);
         const isChanged = current.length !== sharers.length
             || current.some(({ name, region }, index) =>
@@ -54,7 +58,7 @@
     return {
         shareOf: (limit, server) => {
             refreshIfDue();
-            if (!knowsOthers) {
+            if (!mayUseShares) {
                 return 0;
             }
             const known = shares.get(server.id);
--- a/packages/endivebridge-gateway/src/__tests__/unit/RateLimitSharing.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/RateLimitSharing.test.ts
@@ -76,10 +76,18 @@
     );
 });
 
+test("a new instance uses no share of a rate limit before the others know of it", t => {
+    const members = makeMembers("own", () => 60_000);
+    members.addMember(record("peer"), performance.now());
+    const limit = { requestsPerSecond: 4, turn: 0 };
+    t.is(makeRateLimitShares(own, members, performance.now()).shareOf(limit, server), 0);
+    t.is(makeRateLimitShares(own, members, performance.now() - 3_000).shareOf(limit, server), 2);
+});
+
 test("a restarted instance that knows one of many members does not take half of the rate limit", t => {
-    const startedMillis = performance.now();
+    const startedMillis = performance.now() - 3_000;
     const members = makeMembers("own", () => 60_000);
-    report(members, "peer", [], startedMillis, 64);
+    report(members, "peer", [], performance.now(), 64);
     t.is(makeRateLimitShares(own, members, startedMillis).shareOf({ requestsPerSecond: 64, turn: 0 }, server), 0);
     range(63).forEach(index => members.addMember(record(`other-${index}`), startedMillis));
     t.true(makeRateLimitShares(own, members, startedMillis).shareOf({ requestsPerSecond: 64, turn: 0 }, server) <= 1);
