Gateway: hold a crash against the only request at the server, however long it ran

A crash counted against a request only within 60 ms of its send, as other requests may be at fault later. A request that was alone at the server, as far as known when it was sent and when it ended, is now held at fault without a limit of 60 ms.

--- a/packages/endivebridge-gateway/src/RequestSends.ts
+++ b/packages/endivebridge-gateway/src/RequestSends.ts
@@ -11,6 +11,8 @@
     readonly outcome: ExchangeOutcome;
     readonly sentMillis: number;
     readonly tookMillis: number;
+    /** Whether no other request was known to be in flight at the server when this one was sent and when it ended. */
+    readonly ranAlone: boolean;
 }
 
 /** The sends of one request. */
@@ -86,6 +88,8 @@
         const leftMillis = Math.max(1, Math.floor(deadlineMillis - sentMillis));
         triedServers.add(server.id);
         count += 1;
+        const isOnlyRequest = () => placed.tracked.ownInFlight + placed.tracked.peersInFlight <= 1;
+        const startedAlone = isOnlyRequest();
         const exchange = startExchange(parts.dialect, {
             host: server.host,
             port: server.port,
@@ -106,12 +110,13 @@
         const outcome = await exchange.outcome;
         exchanges.delete(exchange);
         const tookMillis = monotonicMillis() - sentMillis;
+        const ranAlone = startedAlone && isOnlyRequest();
         placed.tracked.ownInFlight -= 1;
         const hasCacheLocality = keyHash !== undefined;
         updateServerStatistics(parts, { route, service, placed, outcome, tookMillis, hasCacheLocality });
         parts.metrics.attempts.inc({ service: service.name, outcome: outcome.kind });
         parts.offerFreeSlots(service.name);
-        return { placed, outcome, sentMillis, tookMillis };
+        return { placed, outcome, sentMillis, tookMillis, ranAlone };
     };
 
     /**
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -15,11 +15,11 @@
 import { affinityHash, type CallerRequest, requestFingerprint } from "./CallerRequest";
 import type { Dialect } from "./Dialect";
 import type { EventLog } from "./EventLog";
-import { type ExchangeOutcome, isRefusingConnections, type ServerAnswer } from "./Exchange";
+import { isRefusingConnections, type ServerAnswer } from "./Exchange";
 import { type FinalAnswerKind, leavingRetryMillis } from "./FinalAnswers";
 import type { GatewayMetrics } from "./GatewayMetrics";
 import type { RateLimitReports } from "./RateLimitReports";
-import { makeRequestSends } from "./RequestSends";
+import { type CompletedAttempt, makeRequestSends } from "./RequestSends";
 import type { ServerConnections } from "./ServerConnections";
 
 /** A request with the route and service that the configuration gave it. */
@@ -207,7 +207,7 @@
             parts.requestQueue.submit(waiter, monotonicMillis());
         });
 
-    const recordCrash = async (placed: Placed, outcome: ExchangeOutcome, tookMillis: number): Promise<void> => {
+    const recordCrash = async ({ placed, outcome, tookMillis, ranAlone }: CompletedAttempt): Promise<void> => {
         if (outcome.kind === "answered" && !parts.poison.isEmpty()) {
             parts.poison.clear(requestFingerprint(request));
         }
@@ -217,9 +217,9 @@
                 return;
             }
             const fingerprint = requestFingerprint(request);
-            // Other requests may run on the server, so only a crash right at the start identifies the request at fault.
-            const crashedAtStart = tookMillis < crashAtStartMillis;
-            const isQuarantined = parts.poison.recordCrash(fingerprint, id, crashedAtStart, monotonicMillis());
+            // Beside other requests on the server, only a crash right at the start identifies the request at fault.
+            const isAtFault = ranAlone || tookMillis < crashAtStartMillis;
+            const isQuarantined = parts.poison.recordCrash(fingerprint, id, isAtFault, monotonicMillis());
             parts.log.warn("crash", {
                 requestId: request.id,
                 server: id,
@@ -281,8 +281,9 @@
                 return;
             }
             parts.metrics.queueWait.observe({ service: service.name }, (monotonicMillis() - arrivedMillis) / 1_000);
-            const { outcome, sentMillis, tookMillis } = await sends.send(placed);
-            await recordCrash(placed, outcome, tookMillis);
+            const attempt = await sends.send(placed);
+            const { outcome, sentMillis, tookMillis } = attempt;
+            await recordCrash(attempt);
             if (outcome.kind === "cancelled") {
                 return;
             }
