Daemon: accept no configuration under the number of a version that the table has lost

After a return from a copy, an operator's change based on the copy was confirmed under the lost version's number; instances that had the lost version in force ignored it, as its number was not newer. An instance that has the lost version in force now refuses such a change as a conflict and shows what is in force. In the test the change was accepted before. An instance that has not had the lost version can still accept one in the second before it is written again.

--- a/packages/endivebridge-bench/src/__tests__/integration/TableReturn.test.ts
+++ b/packages/endivebridge-bench/src/__tests__/integration/TableReturn.test.ts
@@ -93,6 +93,9 @@
                 .every(view => (view as InstanceView).configurationVersion === 2);
         t.true(await waitUntil(isInForce));
         testbed.platform.returnToCopy();
+        const command = { basedOnVersion: 1, text: initial.value.text, author: "ann", dryRun: false };
+        const outcome = await testbed.command(testbed.instances[0]!, command) as { readonly outcome: string; };
+        t.is(outcome.outcome, "conflict", "no other version 2 is accepted");
         t.true(await waitUntil(() => Promise.resolve(testbed.platform.rows().has(keyOf(2)))));
     }
     finally {
--- a/packages/endivebridge-daemon/src/OperatorCommands.ts
+++ b/packages/endivebridge-daemon/src/OperatorCommands.ts
@@ -35,6 +35,20 @@
     return { outcome: "unavailable", detail: failure.kind === "conflict" ? "row vanished" : failure.detail };
 }
 
+/**
+ * Configuration in force whose version is at least the given one although the table has no row of that version: the table
+ * has returned from a copy. A new row would be confirmed and never applied by instances that have the lost version.
+ */
+const findLostVersion = (context: Context, version: number) =>
+    Effect.gen(function*() {
+        const inForce = context.configuration.read();
+        if (inForce === undefined || inForce.version < version) {
+            return undefined;
+        }
+        const row = yield* context.platform.readRow(configurationKey(version));
+        return row === undefined ? inForce : undefined;
+    });
+
 /**
  * Validates a configuration and stores it as the version after the one that the operator edited. Of concurrent commands
  * based on the same version at most one succeeds.
@@ -66,6 +80,14 @@
         if (!basedOnExists.success) {
             return { outcome: "invalid", faults: `there is no version ${command.basedOnVersion}` };
         }
+        const lostVersion = yield* Effect.result(findLostVersion(context, version));
+        if (Result.isFailure(lostVersion)) {
+            return { outcome: "unavailable", detail: "the version in force cannot be compared with the table" };
+        }
+        if (lostVersion.success !== undefined) {
+            const { version: inForceVersion, text } = lostVersion.success;
+            return { outcome: "conflict", version: inForceVersion, author: "unknown (lost by the table)", text };
+        }
         const written = yield* Effect.result(context.platform.writeRow(configurationKey(version), 0, {
             text: command.text,
             author: command.author,
