Exchange: an answer without a length is not complete if its connection was reset

When data and a reset of the connection wait together, as they do where the process is busy, libuv reads the data and then reports an end instead of the reset; Node.js takes this for the regular end of an answer without a length. A regular end is read in a later iteration of the event loop than the last data, so an end in the same iteration is now held to be a reset.

Tests, with an instance that is paused while the server writes and resets: 200 before, 502 now; with a server that ends its answer regularly: 200 and the whole body. An answer that fills a read of 64 KB to the last byte before its end would be taken for reset; it is then lost, never short.

--- a/packages/endivebridge-gateway/src/Exchange.ts
+++ b/packages/endivebridge-gateway/src/Exchange.ts
@@ -2,6 +2,7 @@
 import { type IncomingMessage, request as openRequest } from "node:http";
 import { connect } from "node:net";
 import type { Dialect } from "./Dialect";
+import { registerHiddenResetListener } from "./RegisterHiddenResetListener";
 import type { ServerConnections } from "./ServerConnections";
 
 /** Address, content and connect timeout of one send to a backend server. */
@@ -130,6 +131,18 @@
             fail("answer belongs to another request", false);
             return;
         }
+        const hasDeclaredLength = headers["content-length"] !== undefined
+            || headers["transfer-encoding"] !== undefined;
+        const hasBody = call.method !== "HEAD" && status !== 204 && status !== 304;
+        if (!hasDeclaredLength && hasBody) {
+            const unregister = registerHiddenResetListener(incoming, () => {
+                incoming.complete = false;
+                const error = new Error("connection reset within a response without a length");
+                fail(error.message, true);
+                incoming.destroy(error);
+            });
+            incoming.once("close", unregister);
+        }
         const chunks: Buffer[] = [];
         let length = 0;
         const answer = (unreadBody: IncomingMessage | undefined): ServerAnswer => ({
@@ -140,7 +153,7 @@
             unreadBody,
             isNotExecuted,
             isSigned: headers[dialect.signatureHeader] !== undefined,
-            hasDeclaredLength: headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined
+            hasDeclaredLength
         });
         const onData = (chunk: Buffer) => {
             progressLimit.recordProgress();
