--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -337,6 +337,14 @@
         if (fewAhead !== undefined && (!await fewAhead || connection.isClosing())) {
             return;
         }
+        await whenPendingEventsRead();
+        if (connection.isClosing()) {
+            return;
+        }
+        if (message.socket.readableEnded || message.socket.destroyed) {
+            logResult(request, routed, { kind: "abandoned" }, arrivedMillis, connection.closedBy() ?? "caller");
+            return;
+        }
         const running = parts.run(routed);
         progress.running = running;
         connectionRequest.setInService();
@@ -416,6 +424,14 @@
     };
 }
 
+/**
+ * Resolves after the next iteration of the event loop. A busy process reads a request long after it has arrived; the close
+ * of its connection is then pending too, but is read one iteration after the request.
+ */
+function whenPendingEventsRead(): Promise<void> {
+    return new Promise(resolve => setImmediate(() => setImmediate(resolve)));
+}
+
 /** Reports an answer as lost if the rest of its body was lost before its head could be sent. */
 function withoutLostBody(result: RequestResult): RequestResult {
     const unreadBody = result.kind === "answered" ? result.answer.unreadBody : undefined;
