Gateway: count and log sends that end with a crash of their server, also those that are not held against a request

The counter endivebridge_lost_sends_total{crash} says how each counts; the line "crash" tells isAttributable and isAtFault.

--- a/packages/endivebridge-gateway/src/GatewayMetrics.ts
+++ b/packages/endivebridge-gateway/src/GatewayMetrics.ts
@@ -44,6 +44,12 @@
             labelNames: ["service", "outcome"],
             registers
         }),
+        lostSends: new Counter({
+            name: "endivebridge_lost_sends_total",
+            help: "Sends that ended without an answer, by whether their server crashed and how that counts",
+            labelNames: ["crash"],
+            registers
+        }),
         limitedServerSends: new Counter({
             name: "endivebridge_limited_server_sends_total",
             help: "Sends to backend servers that report a rate limit, by kind of send",
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -211,23 +211,32 @@
         if (outcome.kind === "answered" && !parts.poison.isEmpty()) {
             parts.poison.clear(requestFingerprint(request));
         }
-        if (outcome.kind === "lost" && outcome.wasReset && tookMillis < crashAttributionMillis) {
-            const { id, host, port } = placed.tracked.server;
-            if (!await isRefusingConnections(host, port)) {
-                return;
-            }
-            const fingerprint = requestFingerprint(request);
-            // Beside other requests on the server, only a crash right at the start identifies the request at fault.
-            const isAtFault = ranAlone || tookMillis < crashAtStartMillis;
-            const isQuarantined = parts.poison.recordCrash(fingerprint, id, isAtFault, monotonicMillis());
-            parts.log.warn("crash", {
-                requestId: request.id,
-                server: id,
-                fingerprint,
-                tookMillis,
-                isQuarantined
-            }, "backend server crashed soon after the request was sent");
+        if (outcome.kind !== "lost" || !outcome.wasReset) {
+            return;
+        }
+        const { id, host, port } = placed.tracked.server;
+        const isAttributable = tookMillis < crashAttributionMillis;
+        const hasEnded = await isRefusingConnections(host, port);
+        // Beside other requests on the server, only a crash right at the start identifies the request at fault.
+        const isAtFault = ranAlone || tookMillis < crashAtStartMillis;
+        parts.metrics.lostSends.inc({
+            crash: !hasEnded ? "none" : !isAttributable ? "late" : isAtFault ? "at fault" : "beside others"
+        });
+        if (!hasEnded) {
+            return;
         }
+        const fingerprint = requestFingerprint(request);
+        const isQuarantined = isAttributable
+            && parts.poison.recordCrash(fingerprint, id, isAtFault, monotonicMillis());
+        parts.log.warn("crash", {
+            requestId: request.id,
+            server: id,
+            fingerprint,
+            tookMillis,
+            isAttributable,
+            isAtFault,
+            isQuarantined
+        }, "backend server crashed while it had the request");
     };
 
     const isQuarantined = (): boolean =>
