Crash records: count what crashes servers at all instances together, whatever runs beside it

Cause: the gateway kept each part of the knowledge to itself. A crash beside other requests never counted after the first, and the gateway does not isolate suspects as the daemon does; any answer cleared the record, also "not run" of a full server; the first crash was not reported to peers; ends later than 400 ms after the send were not looked at, nor the end of a send that a hedge had outlived. Class: evidence on something common to all instances that each keeps for itself.

Fix: one CrashRecords in core for gateway and daemon, in place of two ways of filling and passing on a list. Three crashes one after the other quarantine a request, two if the second was isolated; crashes at the same moment count as one, so that servers that end together do not condemn frequent requests. Only a completed run clears, at all instances. Each change goes to all peers at once and in the messages of the next seconds; older quarantined ones are repeated in turn, so that a restarted instance learns all of them. Queued requests are looked at before they are sent, suspects are not hedged. A daemon's cut connection counts only if the address then refuses, as at the gateway. Reports of earlier versions are still read.

--- a/packages/endivebridge-core/src/index.ts
+++ b/packages/endivebridge-core/src/index.ts
@@ -33,6 +33,13 @@
 export { type ByteWindow, makeByteWindow } from "./EndivebridgeByteWindow";
 export { type ClientBlock, type ClientBlocks, makeClientBlocks, parseAddress } from "./EndivebridgeClientBlocks";
 export { compareEventTimes, type EventClock, type EventTime, makeEventClock } from "./EndivebridgeClock";
+export {
+    type Crash,
+    type CrashRecords,
+    type CrashReport,
+    makeCrashRecords,
+    type QuarantinedRequest
+} from "./EndivebridgeCrashRecords";
 export { DecisionStep } from "./EndivebridgeDecision";
 export { type DrainProgress, drainProgress, type DrainState, makeRateMeter, type RateMeter } from "./EndivebridgeDrain";
 export {
@@ -65,10 +72,10 @@
 export { makeServerLatency, medianLatencyMillis, recordLatency, type ServerLatency } from "./EndivebridgeLatency";
 export { type Lease, type LeaseEvidence, makeLease } from "./EndivebridgeLease";
 export { type Hash, type LookupCandidate, type LookupRequest, orderInstances } from "./EndivebridgeLookup";
+export { type LostSend, type LostSendCause, recordLostSend } from "./EndivebridgeLostSend";
 export { formatOperationPrefix, type OperationId, parseOperationId } from "./EndivebridgeOperation";
 export { choosePeers, type PeerCandidate, peersPerOtherDomain } from "./EndivebridgePeers";
 export { makeQuantileEstimator, type QuantileEstimator } from "./EndivebridgeQuantileEstimator";
-export { makeQuarantineList, type QuarantineList, type StruckRequest } from "./EndivebridgeQuarantineList";
 export { apportion, type DelayedIncreaseShare, makeDelayedIncreaseShare } from "./EndivebridgeShare";
 export {
     type HeldSlot,
--- a/packages/endivebridge-daemon/src/Context.ts
+++ b/packages/endivebridge-daemon/src/Context.ts
@@ -1,12 +1,12 @@
 import type {
     AssignmentRow,
     ClientBlocks,
+    CrashRecords,
     DecisionStep,
     DelayedIncreaseShare,
     Journal,
     Lease,
     QuantileEstimator,
-    QuarantineList,
     RateMeter,
     RefundableTokenBucket,
     SecondWindow,
@@ -89,7 +89,7 @@
     readonly connections: BackendConnections;
     readonly journal: Journal<Answer>;
     readonly lease: Lease;
-    readonly poison: QuarantineList;
+    readonly crashRecords: CrashRecords;
     readonly linkUsage: LinkUsage;
     readonly configuration: State<ConfigurationInForce | undefined>;
     readonly instances: State<InstanceListSnapshot>;
--- a/packages/endivebridge-daemon/src/Daemon.ts
+++ b/packages/endivebridge-daemon/src/Daemon.ts
@@ -1,10 +1,10 @@
 import {
     makeClientBlocks,
+    makeCrashRecords,
     makeDelayedIncreaseShare,
     makeJournal,
     makeLease,
     makeQuantileEstimator,
-    makeQuarantineList,
     makeRateMeter,
     makeRefundableTokenBucket,
     makeSecondWindow,
@@ -88,7 +88,7 @@
             retentionMillis: settings.timing.operationMemoryMillis,
             capacity: maxJournalOperations
         }),
-        poison: makeQuarantineList(),
+        crashRecords: makeCrashRecords(Math.random),
         linkUsage: makeLinkUsage(),
         lease: makeLease(() => leaseMillis(context)),
         configuration: makeState<ConfigurationInForce | undefined>(undefined),
--- a/packages/endivebridge-daemon/src/DescribeInstance.ts
+++ b/packages/endivebridge-daemon/src/DescribeInstance.ts
@@ -57,7 +57,7 @@
         residentBytes: process.memoryUsage.rss(),
         operationsRemembered: context.journal.size(),
         operationsInDoubt: context.journal.inDoubt().slice(0, 100),
-        struckRequests: context.poison.quarantined(monotonicMillis()),
+        struckRequests: context.crashRecords.quarantined(monotonicMillis()),
         drains: describeDrains(context),
         peers: describePeers(context),
         services: describeServices(context),
--- a/packages/endivebridge-daemon/src/DispatchRequest.ts
+++ b/packages/endivebridge-daemon/src/DispatchRequest.ts
@@ -11,6 +11,8 @@
     readonly kind: ErrorKind;
     readonly reason: "refused" | "unreachable" | "cut" | "silent" | "deadline" | "tooLarge";
     readonly server: string;
+    /** host:port of the server. */
+    readonly address: string;
     readonly ran: "no" | "maybe";
     readonly retryAfterMillis: number;
 }
@@ -171,7 +173,7 @@
         else {
             releaseAfterHold();
         }
-        onResult(Result.fail({ kind, reason, server, ran, retryAfterMillis }));
+        onResult(Result.fail({ kind, reason, server, address, ran, retryAfterMillis }));
     };
     const deadlineTimer = setTimeout(() => {
         fail("deadline", isConnected ? "deadlineInRun" : "deadlineBeforeRun", isConnected ? "maybe" : "no");
--- a/packages/endivebridge-daemon/src/Heartbeat.ts
+++ b/packages/endivebridge-daemon/src/Heartbeat.ts
@@ -1,10 +1,12 @@
 import { create, type MessageInitShape } from "@bufbuild/protobuf";
-import type { StruckRequest } from "@endivebridge/core";
+import type { CrashReport } from "@endivebridge/core";
 import {
     type HeartbeatRequest,
     HeartbeatRequestSchema,
     type HeartbeatResponseSchema,
-    type ServiceLoad
+    type ServiceLoad,
+    type StruckRequest,
+    type StruckRequestSchema
 } from "@endivebridge/protocol";
 import { monotonicMillis } from "@endivebridge/shared";
 import type { Context, ServiceState } from "./Context";
@@ -27,11 +29,40 @@
     };
 }
 
-/**
- * Builds the heartbeat that this instance sends to its peers. `struck` lists requests during which a backend server
- * crashed just now; the quarantined requests are sent with them.
- */
-export function makeHeartbeat(context: Context, struck: readonly StruckRequest[] = []): HeartbeatRequest {
+function encodeCrashReport(
+    { fingerprint, crashes, clearedAgeMillis }: CrashReport
+): MessageInitShape<typeof StruckRequestSchema> {
+    return {
+        fingerprint,
+        servers: crashes.map(crash => crash.server),
+        crashes: crashes.map(({ sentAgeMillis, crashAgeMillis, isIsolated }) => ({
+            sentAgeMillis,
+            crashAgeMillis,
+            isolated: isIsolated
+        })),
+        clearedAgeMillis
+    };
+}
+
+/** Decodes a report; instances of earlier versions report quarantined requests only, without times. */
+function decodeCrashReport({ fingerprint, servers, crashes, clearedAgeMillis }: StruckRequest): CrashReport {
+    return {
+        fingerprint,
+        crashes: servers.map((server, index) => {
+            const details = crashes[index];
+            return {
+                server,
+                sentAgeMillis: details?.sentAgeMillis ?? 0,
+                crashAgeMillis: details?.crashAgeMillis ?? 0,
+                isIsolated: details?.isolated ?? true
+            };
+        }),
+        clearedAgeMillis
+    };
+}
+
+/** Builds the heartbeat that this instance sends to its peers. */
+export function makeHeartbeat(context: Context): HeartbeatRequest {
     return create(HeartbeatRequestSchema, {
         instance: context.settings.instance,
         incarnation: context.incarnation,
@@ -39,8 +70,7 @@
         configurationVersion: context.configuration.read()?.version ?? 0,
         mintEpoch: context.journal.currentEpoch(),
         leaving: context.shutdown.read(),
-        struckRequests: [...struck, ...context.poison.quarantined(monotonicMillis())]
-            .map(({ fingerprint, servers }) => ({ fingerprint, servers: [...servers] })),
+        struckRequests: context.crashRecords.nextReports(monotonicMillis()).map(encodeCrashReport),
         assignmentVersion: BigInt(context.assignment.read()?.version ?? 0),
         time: context.timeLine.clock.now(),
         loads: [...context.services.values()].map(describeLoad)
@@ -84,7 +114,7 @@
 function applyHeartbeat(context: Context, peer: Peer, request: HeartbeatRequest): void {
     peer.leaving = request.leaving;
     const nowMillis = monotonicMillis();
-    request.struckRequests.forEach(struck => context.poison.merge(struck, nowMillis));
+    request.struckRequests.forEach(struck => context.crashRecords.merge(decodeCrashReport(struck), nowMillis));
     for (const load of request.loads) {
         recordPeerLoad(peer, load);
         if (load.freeSlots > 0) {
--- a/packages/endivebridge-daemon/src/Poison.ts
+++ b/packages/endivebridge-daemon/src/Poison.ts
@@ -1,4 +1,5 @@
-import { monotonicMillis } from "@endivebridge/shared";
+import { recordLostSend } from "@endivebridge/core";
+import { isRefusingConnections, monotonicMillis } from "@endivebridge/shared";
 import { Effect } from "effect";
 import type { Context, ServiceState } from "./Context";
 import { makeHeartbeat } from "./Heartbeat";
@@ -7,31 +8,46 @@
 
 const notificationTimeoutMillis = 1_000;
 
+/** Dispatch whose connection to the server was cut before its answer was complete. */
+export interface LostDispatch {
+    readonly server: string;
+    /** host:port of the server. */
+    readonly address: string;
+    readonly sentMillis: number;
+    readonly lostMillis: number;
+    /** Whether no other suspect of this instance ran at the same time. */
+    readonly wasIsolated: boolean;
+}
+
 /** Whether a request is quarantined because enough servers crashed while running it. */
 export function isQuarantined(context: Context, request: SteeringRequest): boolean {
-    return !context.poison.isEmpty()
-        && context.poison.isQuarantined(requestFingerprint(request), monotonicMillis());
+    return !context.crashRecords.isEmpty()
+        && context.crashRecords.isQuarantined(requestFingerprint(request), monotonicMillis());
 }
 
 /**
- * Records that a server crashed while running a request, and notifies every peer at once, as the caller will probably
- * resend the request to another instance.
+ * Records that a server crashed while it had a request, and notifies every peer at once, as the caller will probably resend
+ * the request to another instance. Live servers also reset connections; those count for nothing.
  */
-export function recordServerCrash(
-    context: Context,
-    request: SteeringRequest,
-    server: string,
-    wasIsolated: boolean
-): void {
-    const fingerprint = requestFingerprint(request);
-    const quarantined = context.poison.recordCrash(fingerprint, server, wasIsolated, monotonicMillis());
-    context.timeLine.emit({ kind: "serverDied", server, request: request.request });
+export async function recordServerCrash(context: Context, request: SteeringRequest, lost: LostDispatch): Promise<void> {
+    const separator = lost.address.lastIndexOf(":");
+    const cause = await recordLostSend(context.crashRecords, {
+        fingerprint: requestFingerprint(request),
+        server: lost.server,
+        sentMillis: lost.sentMillis,
+        lostMillis: lost.lostMillis,
+        wasAlone: lost.wasIsolated
+    }, () => isRefusingConnections(lost.address.slice(0, separator), Number(lost.address.slice(separator + 1))));
+    if (cause === "none") {
+        return;
+    }
+    const quarantined = isQuarantined(context, request);
+    context.timeLine.emit({ kind: "serverDied", server: lost.server, request: request.request });
     context.log.warn(
-        { request: request.request, service: request.service, server, quarantined },
+        { request: request.request, service: request.service, server: lost.server, quarantined },
         "backend server crashed while running a request; notifying peers"
     );
-    // Peers get only the servers counted against this request, not every one that crashed while it was running.
-    const heartbeat = makeHeartbeat(context, [{ fingerprint, servers: context.poison.serversOf(fingerprint) }]);
+    const heartbeat = makeHeartbeat(context);
     for (const peer of context.peers.values()) {
         const notification = Effect.tryPromise(signal =>
             peer.client.heartbeat(heartbeat, { signal, timeoutMs: notificationTimeoutMillis })
@@ -41,8 +57,8 @@
 }
 
 function isSuspect(context: Context, request: SteeringRequest): boolean {
-    return !context.poison.isEmpty()
-        && context.poison.isSuspect(requestFingerprint(request), monotonicMillis());
+    return !context.crashRecords.isEmpty()
+        && context.crashRecords.isSuspect(requestFingerprint(request), monotonicMillis());
 }
 
 /** The effects to choose from when a request is run. */
@@ -78,9 +94,9 @@
     );
 }
 
-/** Clears the crash record of a request that ended with an answer. */
-export function clearSuspicion(context: Context, request: SteeringRequest): void {
-    if (!context.poison.isEmpty()) {
-        context.poison.clear(requestFingerprint(request));
+/** Clears the crash record of a request that a server ran to its end; a failure does not show that it did. */
+export function clearSuspicion(context: Context, request: SteeringRequest, status: number): void {
+    if (!context.crashRecords.isEmpty() && status < 500) {
+        context.crashRecords.recordCompletedRun(requestFingerprint(request), monotonicMillis());
     }
 }
--- a/packages/endivebridge-daemon/src/RunRequest.ts
+++ b/packages/endivebridge-daemon/src/RunRequest.ts
@@ -173,8 +173,8 @@
 function refuseQuarantined(slot: HeldSlot): Effect.Effect<DispatchResult> {
     return Effect.sync(() => {
         slot.release();
-        const { server } = slot.owned;
-        return Result.fail({ kind: "quarantined", reason: "refused", server, ran: "no", retryAfterMillis: 0 });
+        const { server, address } = slot.owned;
+        return Result.fail({ kind: "quarantined", reason: "refused", server, address, ran: "no", retryAfterMillis: 0 });
     });
 }
 
@@ -264,6 +264,7 @@
                 return withWaitHeader(request, placement.answer, placement.waitedMillis);
             }
             const waitedMillis = monotonicMillis() - arrivedAtMillis;
+            const sentMillis = monotonicMillis();
             let wasIsolated = false;
             const result = yield* runIsolatingSuspects(context, service, request, {
                 unrestricted: dispatchHedged(context, service, request, placement.slot, excluded),
@@ -274,7 +275,7 @@
                 refused: refuseQuarantined(placement.slot)
             });
             if (Result.isSuccess(result)) {
-                clearSuspicion(context, request);
+                clearSuspicion(context, request, result.success.status);
                 recordAnswerBytes(service, result.success.body.length);
                 return withWaitHeader(request, result.success, waitedMillis);
             }
@@ -282,7 +283,11 @@
             pauseFailedServer(context, service, failure);
             doubt.mayHaveRun ||= failure.ran !== "no";
             if (failure.reason === "cut") {
-                recordServerCrash(context, request, failure.server, wasIsolated);
+                const { server, address } = failure;
+                const lostMillis = monotonicMillis();
+                yield* Effect.promise(() =>
+                    recordServerCrash(context, request, { server, address, sentMillis, lostMillis, wasIsolated })
+                );
             }
             if (attempt >= maxAttempts || !shouldRetry(service, request, failure)) {
                 const detail = `server ${failure.server}: ${failure.reason}`;
--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -1,4 +1,4 @@
-import { makeQuarantineList } from "@endivebridge/core";
+import { makeCrashRecords } from "@endivebridge/core";
 import { monotonicMillis, type Teardown } from "@endivebridge/shared";
 import {
     type BackendServer,
@@ -92,6 +92,8 @@
 const queueCheckIntervalMillis = 25;
 /** Slots freed within this time are offered as one batch; short compared with the duration of any request. */
 const slotBatchMillis = 4;
+/** Crashes seen within this time are reported to peers in one message. */
+const crashBatchMillis = 5;
 /** Round trip to another region as stated for both deployments, 55 ms one way; not measured at run time. */
 const otherRegionRoundTripMillis = 110;
 /** An idle instance stays until this long before the forced end, as callers still connect after older look-ups. */
@@ -110,7 +112,7 @@
     const { own } = settings;
     const pool = makeServerPool();
     const members = makeMembers(own.name, (record, known) => memberLivenessMillis(own.region, record, known));
-    const poison = makeQuarantineList();
+    const crashRecords = makeCrashRecords(Math.random);
     const estimates = makeServiceTimeEstimates();
     const requestQueue = makeRequestQueue();
     const retryBudget = makeRetryBudget(settings.retryBudget);
@@ -206,6 +208,16 @@
         }, slotBatchMillis);
     };
 
+    let crashAnnouncement: NodeJS.Timeout | undefined;
+
+    /** Many requests may lose the same server at the same moment; one message reports them together. */
+    const announceCrash = () => {
+        crashAnnouncement ??= setTimeout(() => {
+            crashAnnouncement = undefined;
+            peers.announce();
+        }, crashBatchMillis);
+    };
+
     const isReady = () => beliefs.isStateComplete() && stoppingSinceMillis === undefined;
 
     const callerServer = makeCallerServer({
@@ -224,7 +236,8 @@
                 rateLimitReports,
                 hedging,
                 estimates,
-                poison,
+                crashRecords,
+                announceCrash,
                 instanceCount,
                 stopEndMillis: () => stopEndMillis,
                 connectionsOf: placed => connectionsTo(placed.tracked.server),
@@ -310,7 +323,7 @@
             ...tableVersions.current(),
             configurationVersion: configurationVersion()
         }),
-        crashes: () => poison.quarantined(monotonicMillis()),
+        crashReports: () => crashRecords.nextReports(monotonicMillis()),
         onReport: report => {
             for (const [table, version] of tableVersions.newerIn(report)) {
                 newerTableListeners.forEach(listener => listener(table, version));
@@ -325,12 +338,11 @@
         },
         rateLimits: () => rateLimitReports.nextReports(monotonicMillis()),
         onRateLimits: reports => rateLimitReports.recordReports(reports, monotonicMillis()),
-        onCrashes: crashes => {
+        onCrashReports: reports => {
             const nowMillis = monotonicMillis();
-            for (const crash of crashes) {
-                if (!poison.isQuarantined(crash.fingerprint, nowMillis)) {
-                    poison.merge(crash, nowMillis);
-                    log.info("quarantine", { ...crash }, "a peer reports a request that crashes backend servers");
+            for (const report of reports) {
+                if (crashRecords.merge(report, nowMillis)) {
+                    log.info("quarantine", { ...report }, "a peer reports a request that crashes backend servers");
                 }
             }
         },
--- a/packages/endivebridge-gateway/src/GatewayMetrics.ts
+++ b/packages/endivebridge-gateway/src/GatewayMetrics.ts
@@ -46,7 +46,8 @@
         }),
         lostSends: new Counter({
             name: "endivebridge_lost_sends_total",
-            help: "Sends that ended without an answer, by whether their server crashed and how that counts",
+            help:
+                "Sends whose connection was reset, by whether their server crashed and another request can have caused it",
             labelNames: ["crash"],
             registers
         }),
--- a/packages/endivebridge-gateway/src/PeerExchange.ts
+++ b/packages/endivebridge-gateway/src/PeerExchange.ts
@@ -1,4 +1,4 @@
-import type { StruckRequest } from "@endivebridge/core";
+import type { CrashReport } from "@endivebridge/core";
 import { monotonicMillis, type Teardown } from "@endivebridge/shared";
 import type { MemberRecord, MemberReport, Members } from "@endivebridge/traffic";
 import { createSocket } from "node:dgram";
@@ -15,6 +15,16 @@
     region: string
 });
 
+const CrashReportCodec = Codec.interface({
+    fingerprint: string,
+    servers: array(string),
+    /** One for each server; instances of earlier versions do not send them. */
+    crashes: optional(array(
+        Codec.interface({ sentAgeMillis: number, crashAgeMillis: number, isIsolated: boolean })
+    )),
+    clearedAgeMillis: optional(number)
+});
+
 const PeerMessage = Codec.interface({
     record: MemberRecordCodec,
     incarnation: string,
@@ -36,10 +46,12 @@
     membersKnown: number,
     /** Records of some of these instances, for a receiver that knows fewer. */
     members: optional(array(MemberRecordCodec)),
-    /** Requests that crashed backend servers while they ran. */
-    crashes: optional(array(Codec.interface({ fingerprint: string, servers: array(string) })))
+    /** Requests that backend servers had as they crashed. */
+    crashes: optional(array(CrashReportCodec))
 });
 
+type EncodedCrashReport = GetType<typeof CrashReportCodec>;
+
 /** State report that instances send to each other as JSON datagrams. */
 export type PeerMessage = GetType<typeof PeerMessage>;
 
@@ -52,10 +64,10 @@
     readonly seeds: readonly { readonly host: string; readonly port: number; }[];
     readonly describeSelf: () => Omit<MemberReport, "record" | "incarnation" | "sequence" | "silentMembers">;
     readonly rateLimits: () => readonly RateLimitReport[];
-    readonly crashes: () => readonly StruckRequest[];
+    readonly crashReports: () => readonly CrashReport[];
     readonly onReport: (report: MemberReport) => void;
     readonly onRateLimits: (reports: readonly RateLimitReport[]) => void;
-    readonly onCrashes: (crashes: readonly StruckRequest[]) => void;
+    readonly onCrashReports: (reports: readonly CrashReport[]) => void;
     readonly log: EventLog;
 }
 
@@ -80,7 +92,6 @@
 const maxMembersInMessage = 40;
 /** Minimum time between two batches of member records to an instance that knows fewer members than this one. */
 const introductionIntervalMillis = 1_000;
-const maxCrashesInMessage = 8;
 /** Further silent members count as heard, which leaves them their shares of rate limits. */
 const maxSilentMembersInMessage = 100;
 
@@ -140,13 +151,13 @@
             })));
         }
         if (message.crashes !== undefined && message.crashes.length > 0) {
-            parts.onCrashes(message.crashes);
+            parts.onCrashReports(message.crashes.map(decodeCrashReport));
         }
     });
 
     const encodeMessage = (memberRecords: readonly MemberRecord[]): Buffer => {
         sequence += 1;
-        const crashes = parts.crashes().slice(-maxCrashesInMessage);
+        const crashes = parts.crashReports();
         const rateLimits = parts.rateLimits();
         const silentMembers = parts.members.silent(monotonicMillis()).slice(0, maxSilentMembersInMessage);
         const { isReady, inFlight, awayShares, hasStoreMillis, tableVersions, storeEra, configurationVersion } = parts
@@ -166,7 +177,7 @@
             rateLimits: rateLimits.length > 0 ? [...rateLimits] : undefined,
             membersKnown: parts.members.allRecords().length,
             members: memberRecords.length > 0 ? [...memberRecords] : undefined,
-            crashes: crashes.length > 0 ? crashes.map(crash => ({ ...crash, servers: [...crash.servers] })) : undefined
+            crashes: crashes.length > 0 ? crashes.map(encodeCrashReport) : undefined
         };
         return Buffer.from(JSON.stringify(content));
     };
@@ -256,6 +267,31 @@
     };
 }
 
+function encodeCrashReport({ fingerprint, crashes, clearedAgeMillis }: CrashReport): EncodedCrashReport {
+    return {
+        fingerprint,
+        servers: crashes.map(crash => crash.server),
+        crashes: crashes.map(({ sentAgeMillis, crashAgeMillis, isIsolated }) => ({
+            sentAgeMillis,
+            crashAgeMillis,
+            isIsolated
+        })),
+        clearedAgeMillis
+    };
+}
+
+/** Decodes a report; instances of earlier versions report quarantined requests only, without times. */
+function decodeCrashReport({ fingerprint, servers, crashes, clearedAgeMillis }: EncodedCrashReport): CrashReport {
+    return {
+        fingerprint,
+        crashes: servers.map((server, index) => ({
+            server,
+            ...crashes?.[index] ?? { sentAgeMillis: 0, crashAgeMillis: 0, isIsolated: true }
+        })),
+        clearedAgeMillis
+    };
+}
+
 function decode(datagram: Buffer): PeerMessage | undefined {
     try {
         return PeerMessage.decode(JSON.parse(datagram.toString("utf8"))).toMaybe().extract();
--- a/packages/endivebridge-gateway/src/RequestSends.ts
+++ b/packages/endivebridge-gateway/src/RequestSends.ts
@@ -1,5 +1,7 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import type { Placed } from "@endivebridge/traffic";
+import { requestFingerprint } from "./CallerRequest";
+import { attributeCrash } from "./CrashAttribution";
 import { type Exchange, type ExchangeOutcome, startExchange } from "./Exchange";
 import { raceAttempts } from "./RaceAttempts";
 import type { RoutedRequest, RunRequestParts } from "./RunRequest";
@@ -19,7 +21,7 @@
 export interface RequestSends {
     /**
      * Sends the request to a server on which a slot is reserved for it. On an idempotent route a slow send is hedged by
-     * a second one; the first successful outcome is returned.
+     * a second one; the first successful outcome is returned. A request that may crash servers is not hedged.
      */
     readonly send: (placed: Placed) => Promise<CompletedAttempt>;
     /** Cancels the sends in flight and prevents further hedging. */
@@ -116,9 +118,15 @@
         updateServerStatistics(parts, { route, service, placed, outcome, tookMillis, hasCacheLocality });
         parts.metrics.attempts.inc({ service: service.name, outcome: outcome.kind });
         parts.offerFreeSlots(service.name);
-        return { placed, outcome, sentMillis, tookMillis, ranAlone };
+        const attempt = { placed, outcome, sentMillis, tookMillis, ranAlone };
+        await attributeCrash(parts, request, attempt);
+        return attempt;
     };
 
+    const isSuspect = () =>
+        !parts.crashRecords.isEmpty()
+        && parts.crashRecords.isSuspect(requestFingerprint(request), monotonicMillis());
+
     /**
      * Sends a second attempt to the same server, which is warm for the request's key, if the server has a free slot and
      * no request of the service is queued.
@@ -126,7 +134,7 @@
     const hedge = (placed: Placed): Promise<CompletedAttempt> | undefined => {
         const nowMillis = monotonicMillis();
         if (
-            isCancelled || parts.requestQueue.waiting(service.name) > 0
+            isCancelled || isSuspect() || parts.requestQueue.waiting(service.name) > 0
             || !parts.placement.canHedge(placed, nowMillis)
             || parts.retryBudget.remaining(service.name, parts.instanceCount(), nowMillis) < 1
             || !parts.hedging.trySpend(service.name, nowMillis)
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -1,4 +1,4 @@
-import type { QuarantineList } from "@endivebridge/core";
+import type { CrashRecords } from "@endivebridge/core";
 import { monotonicMillis } from "@endivebridge/shared";
 import {
     type Hedging,
@@ -15,11 +15,11 @@
 import { affinityHash, type CallerRequest, requestFingerprint } from "./CallerRequest";
 import type { Dialect } from "./Dialect";
 import type { EventLog } from "./EventLog";
-import { isRefusingConnections, type ServerAnswer } from "./Exchange";
+import type { ServerAnswer } from "./Exchange";
 import { type FinalAnswerKind, leavingRetryMillis } from "./FinalAnswers";
 import type { GatewayMetrics } from "./GatewayMetrics";
 import type { RateLimitReports } from "./RateLimitReports";
-import { type CompletedAttempt, makeRequestSends } from "./RequestSends";
+import { makeRequestSends } from "./RequestSends";
 import type { ServerConnections } from "./ServerConnections";
 
 /** A request with the route and service that the configuration gave it. */
@@ -70,7 +70,9 @@
     readonly rateLimitReports: RateLimitReports;
     readonly hedging: Hedging;
     readonly estimates: ServiceTimeEstimates;
-    readonly poison: QuarantineList;
+    readonly crashRecords: CrashRecords;
+    /** Reports a crash to all peers at once. */
+    readonly announceCrash: () => void;
     /** Number of instances that share the retry budget. */
     readonly instanceCount: () => number;
     /** When the requests that are still open are cut; infinite unless the instance is shutting down. */
@@ -80,10 +82,6 @@
     readonly metrics: GatewayMetrics;
 }
 
-/** A crash within this time of the send is attributed to the request; later ones may be due to other requests. */
-const crashAttributionMillis = 400;
-/** A crash within this time of the send happened as the server began to run the request. */
-const crashAtStartMillis = 60;
 /** Retry-After of a request that was refused because no server could be reached or all of them rejected it. */
 const unreachableRetryMillis = 300;
 /** Limit on sends per request when connections fail; after that many the server list is wrong, not one server. */
@@ -93,7 +91,7 @@
 
 type PlacementResult =
     | { readonly kind: "placed"; readonly placed: Placed; }
-    | { readonly kind: "refused"; readonly answer: FinalAnswerKind; readonly retryAfterMillis: number; }
+    | { readonly kind: "refused"; readonly answer: FinalAnswerKind; readonly retryAfterMillis: number | undefined; }
     | { readonly kind: "ended"; };
 
 const refusalAnswers: Record<RefusalReason, FinalAnswerKind> = {
@@ -140,6 +138,10 @@
         Math.max(0, deadlineMillis - monotonicMillis())
     );
 
+    const isQuarantined = (): boolean =>
+        !parts.crashRecords.isEmpty()
+        && parts.crashRecords.isQuarantined(requestFingerprint(request), monotonicMillis());
+
     const waitForPlacement = (isNew: boolean): Promise<PlacementResult> =>
         new Promise(resolve => {
             const waitingSinceMillis = monotonicMillis();
@@ -168,6 +170,10 @@
                     if (isTooLateInStop(nowMillis)) {
                         return false;
                     }
+                    if (isQuarantined()) {
+                        resolvePlacement({ kind: "refused", answer: "quarantined", retryAfterMillis: undefined });
+                        return true;
+                    }
                     const waitedShare = (nowMillis - waitingSinceMillis) / route.objectiveMillis;
                     const chosen = parts.placement.choose(
                         {
@@ -207,41 +213,6 @@
             parts.requestQueue.submit(waiter, monotonicMillis());
         });
 
-    const recordCrash = async ({ placed, outcome, tookMillis, ranAlone }: CompletedAttempt): Promise<void> => {
-        if (outcome.kind === "answered" && !parts.poison.isEmpty()) {
-            parts.poison.clear(requestFingerprint(request));
-        }
-        if (outcome.kind !== "lost" || !outcome.wasReset) {
-            return;
-        }
-        const { id, host, port } = placed.tracked.server;
-        const isAttributable = tookMillis < crashAttributionMillis;
-        const hasEnded = await isRefusingConnections(host, port);
-        // Beside other requests on the server, only a crash right at the start identifies the request at fault.
-        const isAtFault = ranAlone || tookMillis < crashAtStartMillis;
-        parts.metrics.lostSends.inc({
-            crash: !hasEnded ? "none" : !isAttributable ? "late" : isAtFault ? "at fault" : "beside others"
-        });
-        if (!hasEnded) {
-            return;
-        }
-        const fingerprint = requestFingerprint(request);
-        const isQuarantined = isAttributable
-            && parts.poison.recordCrash(fingerprint, id, isAtFault, monotonicMillis());
-        parts.log.warn("crash", {
-            requestId: request.id,
-            server: id,
-            fingerprint,
-            tookMillis,
-            isAttributable,
-            isAtFault,
-            isQuarantined
-        }, "backend server crashed while it had the request");
-    };
-
-    const isQuarantined = (): boolean =>
-        !parts.poison.isEmpty() && parts.poison.isQuarantined(requestFingerprint(request), monotonicMillis());
-
     /** Whether the request may be sent again; spends the retry budget if the last send may have reached a server. */
     const tryReserveRetry = (mayHaveReachedServer: boolean): boolean => {
         const hasExhaustedAttempts = deliveredSends >= route.maximumAttempts || sends.count() >= maxSends;
@@ -292,7 +263,6 @@
             parts.metrics.queueWait.observe({ service: service.name }, (monotonicMillis() - arrivedMillis) / 1_000);
             const attempt = await sends.send(placed);
             const { outcome, sentMillis, tookMillis } = attempt;
-            await recordCrash(attempt);
             if (outcome.kind === "cancelled") {
                 return;
             }
--- a/packages/endivebridge-gateway/src/__tests__/unit/PeerExchange.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/PeerExchange.test.ts
@@ -50,11 +50,11 @@
             hasStoreMillis: undefined,
             tableVersions: {}
         }),
-        crashes: () => [],
+        crashReports: () => [],
         rateLimits: () => [],
         onRateLimits: () => undefined,
         onReport: () => undefined,
-        onCrashes: () => undefined,
+        onCrashReports: () => undefined,
         log: makeEventLog("test", "own", { write: () => undefined, takeDroppedCount: () => 0 })
     });
     const seen: PeerMessage[] = [];
--- a/packages/endivebridge-protocol/src/index.ts
+++ b/packages/endivebridge-protocol/src/index.ts
@@ -8,5 +8,7 @@
     type HeartbeatResponse,
     HeartbeatResponseSchema,
     PeerService,
-    type ServiceLoad
+    type ServiceLoad,
+    type StruckRequest,
+    type StruckRequestSchema
 } from "./generated/peer_pb";
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -2,6 +2,7 @@
 export { GuardedAgent } from "./GuardedAgent";
 export { httpExchange, type HttpFailure, type HttpRequestOptions, type HttpResponse } from "./HttpExchange";
 export { invariant } from "./Invariant";
+export { isRefusingConnections } from "./IsRefusingConnections";
 export { limitBytesWithoutProgress, type ProgressLimit } from "./LimitBytesWithoutProgress";
 export { mergeTeardowns, type Teardown } from "./MergeTeardowns";
 export { monotonicMillis } from "./MonotonicMillis";
