Gateway and daemon: forward requests to peers while no backend server can be reached

Cause: an instance had no way to a server but its own links; readiness and the directory move only callers that ask anew. Class: a dependency that all instances share is taken to be lost for all when one instance loses its way to it.

ServiceReachability (core) tells from new connections, for each service, whether this instance is cut off; requests then go over a peer that reaches the service, once, with deadline, id, earlier attempts and configuration version; the peer places, counts and limits them as its own. The daemon, which forwards already, bars its own slots by the same verdict.

The daemon's part has no test of its own yet.

--- a/packages/endivebridge-core/src/index.ts
+++ b/packages/endivebridge-core/src/index.ts
@@ -76,6 +76,7 @@
 export { formatOperationPrefix, type OperationId, parseOperationId } from "./EndivebridgeOperation";
 export { choosePeers, type PeerCandidate, peersPerOtherDomain } from "./EndivebridgePeers";
 export { makeQuantileEstimator, type QuantileEstimator } from "./EndivebridgeQuantileEstimator";
+export { makeServiceReachability, type ServiceReachability } from "./EndivebridgeReachability";
 export { apportion, type DelayedIncreaseShare, makeDelayedIncreaseShare } from "./EndivebridgeShare";
 export {
     type HeldSlot,
--- a/packages/endivebridge-daemon/src/Context.ts
+++ b/packages/endivebridge-daemon/src/Context.ts
@@ -10,6 +10,7 @@
     RateMeter,
     RefundableTokenBucket,
     SecondWindow,
+    ServiceReachability,
     ShareBudget,
     SlotPool
 } from "@endivebridge/core";
@@ -90,6 +91,7 @@
     readonly journal: Journal<Answer>;
     readonly lease: Lease;
     readonly crashRecords: CrashRecords;
+    readonly reachability: ServiceReachability;
     readonly linkUsage: LinkUsage;
     readonly configuration: State<ConfigurationInForce | undefined>;
     readonly instances: State<InstanceListSnapshot>;
--- a/packages/endivebridge-daemon/src/Daemon.ts
+++ b/packages/endivebridge-daemon/src/Daemon.ts
@@ -8,6 +8,7 @@
     makeRateMeter,
     makeRefundableTokenBucket,
     makeSecondWindow,
+    makeServiceReachability,
     makeShareBudget,
     makeSlotPool,
     pickLeastCost
@@ -31,6 +32,7 @@
 import { ownershipTask, releaseOwnership } from "./OwnershipTask";
 import { openPeerServer } from "./PeerServer";
 import { registerPeerTasks } from "./PeerTask";
+import { registerReachabilityProbes } from "./Reachability";
 import { makeWrittenRows, registerRewriteAfterTableReturn } from "./TableReturn";
 import { makeTimeLine } from "./TimeLine";
 
@@ -89,6 +91,7 @@
             capacity: maxJournalOperations
         }),
         crashRecords: makeCrashRecords(Math.random),
+        reachability: makeServiceReachability(service => context.services.get(service)?.pool.servers().length ?? 0),
         linkUsage: makeLinkUsage(),
         lease: makeLease(() => leaseMillis(context)),
         configuration: makeState<ConfigurationInForce | undefined>(undefined),
@@ -193,6 +196,7 @@
     const peerServer = await openPeerServer(context);
     const callerServer = await openCallerServer(context);
     const stopTasks = startTasks(context);
+    const unregisterProbes = registerReachabilityProbes(context);
     const teardown = mergeTeardowns(
         () => context.metrics.close(),
         () => context.connections.closeAll(),
@@ -200,6 +204,7 @@
         unregisterServices,
         unregisterPeers,
         unregisterRewrite,
+        unregisterProbes,
         stopTasks
     );
     context.log.info({ callers: settings.callers, peers: settings.peers, incarnation: context.incarnation }, "started");
--- a/packages/endivebridge-daemon/src/DispatchRequest.ts
+++ b/packages/endivebridge-daemon/src/DispatchRequest.ts
@@ -29,6 +29,8 @@
     /** Polled once the answer is late on a reused connection, which may be dead; true abandons the request. */
     readonly canAbandon: () => boolean;
     readonly onAnswer: (tookMillis: number, isLate: boolean) => void;
+    /** Receives whether the new connection could be opened, unless the dispatch uses a kept one. */
+    readonly onConnection: (isOpen: boolean) => void;
 }
 
 const maxRetainedAnswerBytes = 1_048_576;
@@ -119,6 +121,7 @@
     const remainingMillis = request.deadlineAtMillis - startedAtMillis;
     const separator = address.lastIndexOf(":");
     let isConnected = false;
+    let isConnecting = false;
     let isEnded = false;
     let hasResponse = false;
     let isComplete = () => false;
@@ -166,6 +169,9 @@
         }
         isEnded = true;
         stopTimers();
+        if (isConnecting) {
+            options.onConnection(false);
+        }
         outgoing.destroy();
         if (ran === "no") {
             slot.release();
@@ -198,7 +204,12 @@
 
     outgoing.on("socket", socket => {
         if (socket.connecting) {
-            socket.once("connect", () => isConnected = true);
+            isConnecting = true;
+            socket.once("connect", () => {
+                isConnecting = false;
+                isConnected = true;
+                options.onConnection(true);
+            });
         }
         else {
             isConnected = true;
--- a/packages/endivebridge-daemon/src/Heartbeat.ts
+++ b/packages/endivebridge-daemon/src/Heartbeat.ts
@@ -16,10 +16,10 @@
 import { ownServiceMillis } from "./ServiceTimes";
 
 /** Builds the load report for one service that this instance sends to its peers. */
-export function describeLoad(service: ServiceState) {
+export function describeLoad(context: Context, service: ServiceState) {
     return {
         service: service.service,
-        freeSlots: service.pool.freeSlots(),
+        freeSlots: context.reachability.isCutOff(service.service) ? 0 : service.pool.freeSlots(),
         ownedSlots: service.pool.usableSlots(),
         waiting: service.pool.waiting(),
         setAsideSlots: service.pool.setAsideSlots(),
@@ -73,7 +73,7 @@
         struckRequests: context.crashRecords.nextReports(monotonicMillis()).map(encodeCrashReport),
         assignmentVersion: BigInt(context.assignment.read()?.version ?? 0),
         time: context.timeLine.clock.now(),
-        loads: [...context.services.values()].map(describeLoad)
+        loads: [...context.services.values()].map(service => describeLoad(context, service))
     });
 }
 
--- a/packages/endivebridge-daemon/src/PeerServer.ts
+++ b/packages/endivebridge-daemon/src/PeerServer.ts
@@ -53,10 +53,11 @@
 }
 
 async function encodeAnswer(
+    context: Context,
     result: Result.Result<Answer, SteeringError>,
     service: ServiceState | undefined
 ): Promise<ForwardResponse> {
-    const load = service === undefined ? undefined : describeLoad(service);
+    const load = service === undefined ? undefined : describeLoad(context, service);
     if (Result.isFailure(result)) {
         return create(ForwardResponseSchema, { errorKind: result.failure.kind, detail: result.failure.detail, load });
     }
@@ -72,7 +73,7 @@
 
 function serveForward(context: Context, message: ForwardRequest, signal: AbortSignal): Promise<ForwardResponse> {
     if (context.shutdown.read()) {
-        return encodeAnswer(Result.fail(steeringError("shuttingDown")), undefined);
+        return encodeAnswer(context, Result.fail(steeringError("shuttingDown")), undefined);
     }
     const request = decodeRequest(context, message, true);
     const service = context.services.get(request.service);
@@ -80,7 +81,7 @@
         ? Effect.fail(steeringError("noServers"))
         : runRequest(context, service, request);
     return Effect.runPromise(Effect.result(effect), { signal: request.idempotent ? signal : undefined }).then(result =>
-        encodeAnswer(result, service)
+        encodeAnswer(context, result, service)
     );
 }
 
@@ -90,7 +91,7 @@
     const effect = service === undefined || request.operation === undefined
         ? Effect.fail(steeringError("noServers"))
         : runOwnedOperation(context, request, request.operation, () => runRequest(context, service, request));
-    return Effect.runPromise(Effect.result(effect)).then(result => encodeAnswer(result, service));
+    return Effect.runPromise(Effect.result(effect)).then(result => encodeAnswer(context, result, service));
 }
 
 function keyInterceptor(key: string): Interceptor {
--- a/packages/endivebridge-daemon/src/PlaceRequest.ts
+++ b/packages/endivebridge-daemon/src/PlaceRequest.ts
@@ -162,7 +162,8 @@
         const arrivedAtMillis = monotonicMillis();
         const mayProbe = request.idempotent && !request.forwarded;
         for (;;) {
-            const canUseOwnSlots = isWithinInflowCap(context, service, request);
+            const isCutOff = context.reachability.isCutOff(service.service);
+            const canUseOwnSlots = !isCutOff && isWithinInflowCap(context, service, request);
             const slot = canUseOwnSlots
                 ? service.pool.tryAcquire(excluded, { mayProbe, lastResort: false })
                 : undefined;
@@ -196,6 +197,9 @@
             if (remoteResult !== undefined) {
                 return { kind: "answered", ...remoteResult };
             }
+            if (isCutOff) {
+                return yield* refuse("noServers", "no connections to backend servers, and no free slot at peers");
+            }
             if (!canUseOwnSlots) {
                 yield* waitForInflow(service, request, arrivedAtMillis);
                 triedPeers.clear();
--- a/packages/endivebridge-daemon/src/RunRequest.ts
+++ b/packages/endivebridge-daemon/src/RunRequest.ts
@@ -15,6 +15,7 @@
 import { recordAnswerBytes } from "./Links";
 import { placeRequest, type RunUncertainty } from "./PlaceRequest";
 import { clearSuspicion, isQuarantined, recordServerCrash, runIsolatingSuspects } from "./Poison";
+import { recordConnection } from "./Reachability";
 import { computeHedgeDelayMillis, computeLateThresholdMillis, maySetAside } from "./ServiceTimes";
 import { type Answer, type SteeringRequest, waitMillisHeader } from "./SteeringRequest";
 
@@ -56,6 +57,7 @@
         // A server whose answers are mostly late may be silent on this connection only. Abandoning the request leads to
         // a retry, which is charged here because shouldRetry charges nothing after a silent connection.
         canAbandon: () => idempotent && isMostlyLate(health) && service.retries.trySpend(),
+        onConnection: isOpen => recordConnection(context, service.service, server, isOpen),
         onAnswer: (tookMillis, isLate) => {
             const nowMillis = monotonicMillis();
             service.answerTimeQuantiles.record(tookMillis, nowMillis);
--- a/packages/endivebridge-daemon/src/__tests__/integration/FaultyAnswers.test.ts
+++ b/packages/endivebridge-daemon/src/__tests__/integration/FaultyAnswers.test.ts
@@ -45,7 +45,8 @@
                     lateThresholdMillis: 1_000,
                     onLate: () => undefined,
                     canAbandon: () => false,
-                    onAnswer: () => undefined
+                    onAnswer: () => undefined,
+                    onConnection: () => undefined
                 },
                 request,
                 slot,
--- a/packages/endivebridge-gateway/src/CallerRequest.ts
+++ b/packages/endivebridge-gateway/src/CallerRequest.ts
@@ -3,6 +3,7 @@
 import { createHash } from "node:crypto";
 import type { IncomingMessage } from "node:http";
 import type { Dialect } from "./Dialect";
+import { isPeerHeader } from "./PeerHeaders";
 
 /** A caller's request with its complete body. */
 export interface CallerRequest {
@@ -29,7 +30,7 @@
     const kept: [string, string][] = [];
     for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
         const name = rawHeaders[index]!;
-        if (!isConnectionHeader(name) && !connectionHeaders.includes(name.toLowerCase())) {
+        if (!isConnectionHeader(name) && !isPeerHeader(name) && !connectionHeaders.includes(name.toLowerCase())) {
             kept.push([name, rawHeaders[index + 1]!]);
         }
     }
--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -15,6 +15,8 @@
 import type { ServerAnswer } from "./Exchange";
 import { type FinalAnswerKind, finalAnswers, leavingRetryMillis } from "./FinalAnswers";
 import type { GatewayMetrics } from "./GatewayMetrics";
+import type { ForwardedRequest } from "./PeerForwarding";
+import { forwardedResultHeader } from "./PeerHeaders";
 import { effectivePatienceMillis, type RequestResult, type RoutedRequest, type RunningRequest } from "./RunRequest";
 
 /** The current configuration with its route lookup table. */
@@ -33,6 +35,8 @@
     readonly trafficSplit: TrafficSplit;
     readonly attemptAgeEstimator: AttemptAgeEstimator;
     readonly run: (routed: RoutedRequest) => RunningRequest;
+    /** Decodes what a peer says of a request that it forwards; undefined for requests of callers. */
+    readonly readForwarded: (message: IncomingMessage) => ForwardedRequest | undefined;
     /** Whether the instance is shutting down, so that callers should open their next connection elsewhere. */
     readonly isLeaving: () => boolean;
     /** When the requests that are still open are cut; infinite unless the instance is shutting down. */
@@ -55,6 +59,8 @@
 /** The HTTP server for callers, its open connections and its open requests. */
 export interface CallerServer {
     readonly server: Server;
+    /** Serves a request of the server, or one that another server has received. */
+    readonly handleRequest: (message: IncomingMessage, response: ServerResponse) => void;
     readonly openConnections: ReadonlySet<Socket>;
     readonly openRequests: () => number;
     readonly describeOpenRequests: () => readonly OpenRequest[];
@@ -158,7 +164,8 @@
         response: ServerResponse,
         requestId: string | undefined,
         kind: FinalAnswerKind,
-        retryAfterMillis: number | undefined
+        retryAfterMillis: number | undefined,
+        isForwarded: boolean
     ) => {
         const { status, meaning } = finalAnswers[kind];
         const body = `${JSON.stringify({ error: meaning })}\n`;
@@ -171,7 +178,8 @@
             "Content-Length": Buffer.byteLength(body),
             ...requestId === undefined ? {} : { [parts.dialect.requestIdHeader]: requestId },
             ...retryAfterMillis === undefined ? {} : { "Retry-After": (retryAfterMillis / 1_000).toFixed(3) },
-            ...isClosing ? { "Connection": "close" } : {}
+            ...isClosing ? { "Connection": "close" } : {},
+            ...isForwarded ? { [forwardedResultHeader]: kind } : {}
         });
         response.end(body);
     };
@@ -228,9 +236,13 @@
         response.end(hasBody ? answer.body : undefined);
     };
 
-    const route = (request: CallerRequest, arrivedMillis: number): RoutedRequest | FinalAnswerKind => {
+    const route = (
+        request: CallerRequest,
+        forwarded: ForwardedRequest | undefined,
+        arrivedMillis: number
+    ): RoutedRequest | FinalAnswerKind => {
         const inForce = parts.configuration();
-        if (inForce === undefined) {
+        if (inForce === undefined || (forwarded?.configurationVersion ?? 0) > inForce.configuration.version) {
             return "notReady";
         }
         const matched = inForce.routes.match(request.host, request.path);
@@ -249,10 +261,12 @@
                 service,
                 configurationVersion: inForce.configuration.version,
                 arrivedMillis,
-                sinceFirstAttemptMillis: parts.attemptAgeEstimator.sinceFirstMillis(
-                    matched.name,
-                    request.patienceMillis
-                )
+                forwarded,
+                sinceFirstAttemptMillis: forwarded?.sinceFirstAttemptMillis
+                    ?? parts.attemptAgeEstimator.sinceFirstMillis(
+                        matched.name,
+                        request.patienceMillis
+                    )
             };
     };
 
@@ -314,12 +328,14 @@
             // Behind an answer that closes the connection: callers send such a request again.
             return;
         }
+        const forwarded = parts.readForwarded(message);
+        const isForwarded = forwarded !== undefined;
         const request = makeCallerRequest(parts.dialect, message, Buffer.isBuffer(body) ? body : Buffer.alloc(0));
         const routed = body === "too large"
             ? "bodyTooLarge"
             : body === "full"
             ? "overloaded"
-            : route(request, arrivedMillis);
+            : route(request, forwarded, arrivedMillis);
         if (typeof routed === "string") {
             progress.isAnswering = true;
             const retryAfterMillis = routed === "leaving"
@@ -328,7 +344,7 @@
                 ? earlyRefusalRetryMillis
                 : undefined;
             if (await connectionRequest.whenNextToAnswer()) {
-                sendFinalAnswer(connectionRequest, response, request.id, routed, retryAfterMillis);
+                sendFinalAnswer(connectionRequest, response, request.id, routed, retryAfterMillis, isForwarded);
                 logResult(request, undefined, { kind: "own", answer: routed, retryAfterMillis }, arrivedMillis);
             }
             return;
@@ -357,12 +373,19 @@
             sendAnswer(connection, connectionRequest, response, request.method, result.answer);
         }
         if (isWritable && result.kind === "own") {
-            sendFinalAnswer(connectionRequest, response, request.id, result.answer, result.retryAfterMillis);
+            sendFinalAnswer(
+                connectionRequest,
+                response,
+                request.id,
+                result.answer,
+                result.retryAfterMillis,
+                isForwarded
+            );
         }
         logResult(request, routed, result, arrivedMillis, isWritable ? undefined : connection.closedBy());
     };
 
-    const server = createServer({ keepAliveTimeout: initialIdleTimeoutMillis, noDelay: true }, (message, response) => {
+    const handleRequest: CallerServer["handleRequest"] = (message, response) => {
         const progress: RequestProgress = { arrivedMillis: undefined, running: undefined, isAnswering: false };
         openRequests.set(message, progress);
         response.sendDate = false;
@@ -376,7 +399,8 @@
             connection.recordClosing("fault");
             response.destroy();
         });
-    });
+    };
+    const server = createServer({ keepAliveTimeout: initialIdleTimeoutMillis, noDelay: true }, handleRequest);
     const openConnections = new Set<Socket>();
     server.on("connection", socket => {
         openConnections.add(socket);
@@ -413,6 +437,7 @@
     });
     return {
         server,
+        handleRequest,
         openConnections,
         openRequests: () => openRequests.size,
         describeOpenRequests: () =>
--- a/packages/endivebridge-gateway/src/Exchange.ts
+++ b/packages/endivebridge-gateway/src/Exchange.ts
@@ -15,6 +15,8 @@
     readonly body: Buffer;
     readonly requestId: string | undefined;
     readonly connectTimeoutMillis: number;
+    /** Receives whether the new connection could be opened, unless the send uses a kept one. */
+    readonly onConnection?: (isOpen: boolean) => void;
 }
 
 /** Outcome of a send. */
@@ -58,6 +60,7 @@
 /** Sends a request once; resolves with the answer when it is complete or exceeds the buffer limit. */
 export function startExchange(dialect: Dialect, call: ExchangeCall): Exchange {
     let wasSent = false;
+    let isConnecting = false;
     let isSettled = false;
     let settle: (outcome: ExchangeOutcome) => void = () => undefined;
     const outcome = new Promise<ExchangeOutcome>(resolve => settle = resolve);
@@ -83,6 +86,9 @@
         }
     };
     const fail = (detail: string, wasReset: boolean) => {
+        if (isConnecting && !isSettled) {
+            call.onConnection?.(false);
+        }
         finish(wasSent ? { kind: "lost", detail, wasReset } : { kind: "unreachable", detail });
         request.destroy();
     };
@@ -96,7 +102,12 @@
             wasSent = true;
         };
         if (socket.connecting) {
-            socket.once("connect", onConnected);
+            isConnecting = true;
+            socket.once("connect", () => {
+                isConnecting = false;
+                onConnected();
+                call.onConnection?.(true);
+            });
         }
         else {
             onConnected();
--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -1,5 +1,5 @@
-import { makeCrashRecords } from "@endivebridge/core";
-import { monotonicMillis, type Teardown } from "@endivebridge/shared";
+import { makeCrashRecords, makeServiceReachability } from "@endivebridge/core";
+import { monotonicMillis, registerConnectionProbes, type Teardown } from "@endivebridge/shared";
 import {
     type BackendServer,
     initialEstimateMillis,
@@ -19,7 +19,7 @@
     type TrafficConfiguration
 } from "@endivebridge/traffic";
 import { randomBytes } from "node:crypto";
-import { applyCallerLimits, makeCallerServer } from "./CallerServer";
+import { applyCallerLimits, type CallerServerParts, makeCallerServer } from "./CallerServer";
 import { makeColdSharers } from "./ColdSharers";
 import { makeConfigurationCatchUp } from "./ConfigurationCatchUp";
 import type { Dialect } from "./Dialect";
@@ -29,15 +29,17 @@
 import { makeInstanceCount } from "./InstanceCount";
 import { makeKnownState } from "./KnownState";
 import { memberLivenessMillis, startPeerExchange } from "./PeerExchange";
+import { makePeerForwarding, readForwardedRequest } from "./PeerForwarding";
 import { makeRateLimitReports } from "./RateLimitReports";
 import { makeRateLimitShares } from "./RateLimitSharing";
 import { makeRegionBalancing } from "./RegionBalancing";
 import { runRequest } from "./RunRequest";
 import { ServerConnections } from "./ServerConnections";
-import { fetchSnapshot, serveSnapshots, type SnapshotSource, startSnapshotRequests } from "./SnapshotTransfer";
+import { fetchSnapshot, type SnapshotSource, startPeerServer, startSnapshotRequests } from "./SnapshotTransfer";
 import { makeStartupWait } from "./StartupWait";
 import { configurationOf } from "./StateSnapshot";
 import { makeTableVersions } from "./TableVersions";
+import { clearFailures } from "./UpdateServerStatistics";
 
 /** Settings of one gateway. */
 export interface GatewaySettings {
@@ -92,8 +94,8 @@
 const queueCheckIntervalMillis = 25;
 /** Slots freed within this time are offered as one batch; short compared with the duration of any request. */
 const slotBatchMillis = 4;
-/** Crashes seen within this time are reported to peers in one message. */
-const crashBatchMillis = 5;
+/** Changes within this time are reported to peers in one message. */
+const announcementBatchMillis = 5;
 /** Round trip to another region as stated for both deployments, 55 ms one way; not measured at run time. */
 const otherRegionRoundTripMillis = 110;
 /** An idle instance stays until this long before the forced end, as callers still connect after older look-ups. */
@@ -208,19 +210,57 @@
         }, slotBatchMillis);
     };
 
-    let crashAnnouncement: NodeJS.Timeout | undefined;
+    let announcement: NodeJS.Timeout | undefined;
 
-    /** Many requests may lose the same server at the same moment; one message reports them together. */
-    const announceCrash = () => {
-        crashAnnouncement ??= setTimeout(() => {
-            crashAnnouncement = undefined;
+    /** Many requests may lose the same server at the same moment; one message reports what changes together. */
+    const announceSoon = () => {
+        announcement ??= setTimeout(() => {
+            announcement = undefined;
             peers.announce();
-        }, crashBatchMillis);
+        }, announcementBatchMillis);
     };
 
+    const reachability = makeServiceReachability(name => pool.ofService(name).length);
+    const recordConnection = ({ id, service: name }: BackendServer, isOpen: boolean) => {
+        if (!reachability.recordConnection(name, id, isOpen)) {
+            return;
+        }
+        const isCutOff = reachability.isCutOff(name);
+        log.warn(
+            "reachability",
+            { service: name, isCutOff },
+            isCutOff
+                ? "no connections to the backend servers of the service; forwarding its requests to other instances"
+                : "backend servers of the service accept connections again"
+        );
+        if (!isCutOff) {
+            // The failures were those of this instance's links; the servers had no fault.
+            pool.ofService(name).forEach(clearFailures);
+        }
+        announceSoon();
+        requestQueue.serve(name, monotonicMillis());
+    };
+    /** One server of each service that is cut off, so that the end of a partition is noticed. */
+    const chooseProbedServers = (): readonly BackendServer[] =>
+        reachability.cutOffServices().flatMap(name => {
+            const servers = pool.ofService(name).filter(tracked => !tracked.server.isLeaving);
+            const chosen = servers[Math.floor(Math.random() * servers.length)];
+            if (chosen === undefined) {
+                reachability.forget(name);
+                return [];
+            }
+            return [chosen.server];
+        });
+    const stopReachabilityProbes = registerConnectionProbes({
+        chooseTargets: chooseProbedServers,
+        onOutcome: recordConnection
+    });
+    const peerForwarding = makePeerForwarding({ own, dialect, members, random: Math.random });
+    const incarnation = randomBytes(6).toString("base64url");
+
     const isReady = () => beliefs.isStateComplete() && stoppingSinceMillis === undefined;
 
-    const callerServer = makeCallerServer({
+    const callerServerParts: CallerServerParts = {
         dialect,
         configuration: beliefs.inForce,
         whenStateComplete: startupWait.whenStateComplete,
@@ -237,20 +277,33 @@
                 hedging,
                 estimates,
                 crashRecords,
-                announceCrash,
+                announceCrash: announceSoon,
+                reachability,
+                recordConnection,
+                peerForwarding,
                 instanceCount,
                 stopEndMillis: () => stopEndMillis,
                 connectionsOf: placed => connectionsTo(placed.tracked.server),
                 log,
                 metrics
             }, routed),
+        readForwarded: () => undefined,
         isLeaving: () => stoppingSinceMillis !== undefined,
         stopEndMillis: () => stopEndMillis,
         log,
         metrics
+    };
+    const callerServer = makeCallerServer(callerServerParts);
+    const forwardedServer = makeCallerServer({
+        ...callerServerParts,
+        readForwarded: message => readForwardedRequest(message, incarnation)
     });
-    const { server, openRequests, describeOpenRequests } = callerServer;
-    server.listen(settings.callerPort, settings.callerHost);
+    const openRequests = () => callerServer.openRequests() + forwardedServer.openRequests();
+    const describeOpenRequests = () => [
+        ...callerServer.describeOpenRequests(),
+        ...forwardedServer.describeOpenRequests()
+    ];
+    callerServer.server.listen(settings.callerPort, settings.callerHost);
 
     /** Logs the requests that end without an answer because the process exits. */
     const reportCutRequests = (stoppingMillis: number) => {
@@ -312,7 +365,7 @@
 
     const peers = startPeerExchange({
         own,
-        incarnation: randomBytes(6).toString("base64url"),
+        incarnation,
         members,
         seeds: settings.seeds,
         describeSelf: () => ({
@@ -321,7 +374,8 @@
             awayShares: awayShares(),
             hasStoreMillis: hasStoreMillis(),
             ...tableVersions.current(),
-            configurationVersion: configurationVersion()
+            configurationVersion: configurationVersion(),
+            cutOffServices: reachability.cutOffServices()
         }),
         crashReports: () => crashRecords.nextReports(monotonicMillis()),
         onReport: report => {
@@ -356,7 +410,14 @@
         return [...members.ready(monotonicMillis())].sort((left, right) => distance(left) - distance(right));
     };
 
-    const stopSnapshotServer = serveSnapshots(own.host, own.peerPort, beliefs.makeSnapshot, log);
+    const stopPeerServer = startPeerServer({
+        host: own.host,
+        port: own.peerPort,
+        makeSnapshot: beliefs.makeSnapshot,
+        isForwarded: message => readForwardedRequest(message, incarnation) !== undefined,
+        onForwarded: forwardedServer.handleRequest,
+        log
+    });
     const stopSnapshotRequests = startSnapshotRequests({
         isStateComplete: beliefs.isStateComplete,
         sources: snapshotSources,
@@ -426,7 +487,8 @@
                             log.info("stop", { openRequests: openRequests(), elapsedMillis }, "stopped");
                             reportCutRequests(sinceMillis);
                             stopSnapshotRequests();
-                            stopSnapshotServer();
+                            stopReachabilityProbes();
+                            stopPeerServer();
                             peers.close();
                             resolve();
                         });
--- a/packages/endivebridge-gateway/src/GatewayMetrics.ts
+++ b/packages/endivebridge-gateway/src/GatewayMetrics.ts
@@ -44,6 +44,12 @@
             labelNames: ["service", "outcome"],
             registers
         }),
+        forwardedSends: new Counter({
+            name: "endivebridge_forwarded_sends_total",
+            help: "Requests forwarded to another instance by service and outcome",
+            labelNames: ["service", "outcome"],
+            registers
+        }),
         lostSends: new Counter({
             name: "endivebridge_lost_sends_total",
             help:
--- a/packages/endivebridge-gateway/src/PeerExchange.ts
+++ b/packages/endivebridge-gateway/src/PeerExchange.ts
@@ -42,6 +42,8 @@
     rateLimits: optional(array(
         Codec.interface({ server: string, requestsPerSecond: optional(number), ageMillis: number })
     )),
+    /** Services whose backend servers the sender cannot reach. */
+    cutOffServices: optional(array(string)),
     /** Number of other instances that the sender knows. */
     membersKnown: number,
     /** Records of some of these instances, for a receiver that knows fewer. */
@@ -138,7 +140,8 @@
             hasStoreMillis: message.hasStoreMillis,
             silentMembers: message.silentMembers,
             storeEra: message.storeEra,
-            configurationVersion: message.configurationVersion
+            configurationVersion: message.configurationVersion,
+            cutOffServices: message.cutOffServices
         };
         const isNewer = parts.members.recordReport(report, nowMillis);
         message.members?.forEach(record => parts.members.addMember(record, nowMillis));
@@ -160,8 +163,16 @@
         const crashes = parts.crashReports();
         const rateLimits = parts.rateLimits();
         const silentMembers = parts.members.silent(monotonicMillis()).slice(0, maxSilentMembersInMessage);
-        const { isReady, inFlight, awayShares, hasStoreMillis, tableVersions, storeEra, configurationVersion } = parts
-            .describeSelf();
+        const {
+            isReady,
+            inFlight,
+            awayShares,
+            hasStoreMillis,
+            tableVersions,
+            storeEra,
+            configurationVersion,
+            cutOffServices
+        } = parts.describeSelf();
         const content: PeerMessage = {
             record: parts.own,
             incarnation: parts.incarnation,
@@ -173,6 +184,9 @@
             tableVersions: { ...tableVersions },
             storeEra,
             configurationVersion,
+            cutOffServices: cutOffServices === undefined || cutOffServices.length === 0
+                ? undefined
+                : [...cutOffServices],
             silentMembers: silentMembers.map(member => member.name),
             rateLimits: rateLimits.length > 0 ? [...rateLimits] : undefined,
             membersKnown: parts.members.allRecords().length,
--- a/packages/endivebridge-gateway/src/RequestSends.ts
+++ b/packages/endivebridge-gateway/src/RequestSends.ts
@@ -106,7 +106,8 @@
             },
             body: request.body,
             requestId: request.id,
-            connectTimeoutMillis: placed.isRemote ? remoteConnectTimeoutMillis : connectTimeoutMillis
+            connectTimeoutMillis: placed.isRemote ? remoteConnectTimeoutMillis : connectTimeoutMillis,
+            onConnection: isOpen => parts.recordConnection(server, isOpen)
         });
         exchanges.add(exchange);
         const outcome = await exchange.outcome;
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -1,6 +1,7 @@
-import type { CrashRecords } from "@endivebridge/core";
+import type { CrashRecords, ServiceReachability } from "@endivebridge/core";
 import { monotonicMillis } from "@endivebridge/shared";
 import {
+    type BackendServer,
     type Hedging,
     type Placed,
     type Placement,
@@ -16,8 +17,15 @@
 import type { Dialect } from "./Dialect";
 import type { EventLog } from "./EventLog";
 import type { ServerAnswer } from "./Exchange";
-import { type FinalAnswerKind, leavingRetryMillis } from "./FinalAnswers";
+import { type FinalAnswerKind, finalAnswers, leavingRetryMillis } from "./FinalAnswers";
 import type { GatewayMetrics } from "./GatewayMetrics";
+import {
+    type ForwardedExchange,
+    type ForwardedRequest,
+    type PeerForwarding,
+    readForwardedResult,
+    readRetryAfterMillis
+} from "./PeerForwarding";
 import type { RateLimitReports } from "./RateLimitReports";
 import { makeRequestSends } from "./RequestSends";
 import type { ServerConnections } from "./ServerConnections";
@@ -31,6 +39,8 @@
     readonly arrivedMillis: number;
     /** How long ago the caller first sent it, derived from its remaining deadline; 0 for a first attempt. */
     readonly sinceFirstAttemptMillis: number;
+    /** What the forwarding instance says of the request; undefined for a request of a caller of this instance. */
+    readonly forwarded: ForwardedRequest | undefined;
 }
 
 /** How a request ended. */
@@ -73,6 +83,10 @@
     readonly crashRecords: CrashRecords;
     /** Reports a crash to all peers at once. */
     readonly announceCrash: () => void;
+    readonly reachability: Pick<ServiceReachability, "isCutOff">;
+    /** Records whether a new connection to a backend server could be opened. */
+    readonly recordConnection: (server: BackendServer, isOpen: boolean) => void;
+    readonly peerForwarding: PeerForwarding;
     /** Number of instances that share the retry budget. */
     readonly instanceCount: () => number;
     /** When the requests that are still open are cut; infinite unless the instance is shutting down. */
@@ -86,12 +100,20 @@
 const unreachableRetryMillis = 300;
 /** Limit on sends per request when connections fail; after that many the server list is wrong, not one server. */
 const maxSends = 6;
+/** Failed connections of one request after which it goes to a peer, also if the service does not count as cut off. */
+const maxUnreachableSends = 2;
+/** Peers that a request is forwarded to, one after the other, while none has passed it on. */
+const maxForwardedSends = 3;
+/** Answers of a peer that has not passed the request on, while another one may. */
+const unservedAnswers: readonly FinalAnswerKind[] = ["notReady", "leaving", "noServers", "unreachable"];
 /** Part of the deadline reserved for returning the response to the caller. */
 const responseMarginMillis = 5;
 
 type PlacementResult =
     | { readonly kind: "placed"; readonly placed: Placed; }
     | { readonly kind: "refused"; readonly answer: FinalAnswerKind; readonly retryAfterMillis: number | undefined; }
+    /** The service is cut off, so that no slot of its servers can be used. */
+    | { readonly kind: "cut off"; }
     | { readonly kind: "ended"; };
 
 const refusalAnswers: Record<RefusalReason, FinalAnswerKind> = {
@@ -108,7 +130,7 @@
 
 /** Serves one request: waits for a free slot, sends, and retries where that is safe, until the answer is final. */
 export function runRequest(parts: RunRequestParts, routed: RoutedRequest): RunningRequest {
-    const { request, route, service, arrivedMillis, sinceFirstAttemptMillis } = routed;
+    const { request, route, service, arrivedMillis, sinceFirstAttemptMillis, forwarded } = routed;
     const deadlineMillis = arrivedMillis + effectivePatienceMillis(request, route) - responseMarginMillis;
     const latestAnswerMillis = () => Math.min(deadlineMillis, parts.stopEndMillis());
     const keyHash = affinityHash(request, route);
@@ -116,7 +138,10 @@
     let isFinished = false;
     let mayHaveRun = false;
     /** Number of sends that may have reached a server; failed connection attempts do not count. */
-    let deliveredSends = 0;
+    let deliveredSends = forwarded?.sends ?? 0;
+    let unreachableSends = 0;
+    let isCounted = false;
+    let forwardedExchange: ForwardedExchange | undefined;
     let stopWaiting: (() => void) | undefined;
     let settle: (result: RequestResult) => void = () => undefined;
     const sends = makeRequestSends(parts, routed, { keyHash, deadlineMillis, triedServers });
@@ -128,13 +153,17 @@
             clearTimeout(deadlineTimer);
             stopWaiting?.();
             sends.cancel();
+            forwardedExchange?.cancel();
             settle(requestResult);
         }
     };
     const finishWithFinalAnswer = (answer: FinalAnswerKind, retryAfterMillis?: number) =>
         finishRequest({ kind: "own", answer, retryAfterMillis });
     const deadlineTimer = setTimeout(
-        () => finishWithFinalAnswer(mayHaveRun || sends.mayHaveRun() ? "timedOut" : "timedOutBeforeRun"),
+        () => {
+            const hasSendInFlight = sends.mayHaveRun() || forwardedExchange?.mayHaveRun() === true;
+            finishWithFinalAnswer(mayHaveRun || hasSendInFlight ? "timedOut" : "timedOutBeforeRun");
+        },
         Math.max(0, deadlineMillis - monotonicMillis())
     );
 
@@ -142,6 +171,9 @@
         !parts.crashRecords.isEmpty()
         && parts.crashRecords.isQuarantined(requestFingerprint(request), monotonicMillis());
 
+    /** A request is forwarded once: the peer that has it sends it to a server or answers it. */
+    const mayForward = () => forwarded === undefined;
+
     const waitForPlacement = (isNew: boolean): Promise<PlacementResult> =>
         new Promise(resolve => {
             const waitingSinceMillis = monotonicMillis();
@@ -174,6 +206,10 @@
                         resolvePlacement({ kind: "refused", answer: "quarantined", retryAfterMillis: undefined });
                         return true;
                     }
+                    if (mayForward() && parts.reachability.isCutOff(service.name)) {
+                        resolvePlacement({ kind: "cut off" });
+                        return true;
+                    }
                     const waitedShare = (nowMillis - waitingSinceMillis) / route.objectiveMillis;
                     const chosen = parts.placement.choose(
                         {
@@ -235,18 +271,97 @@
         }
     };
 
+    /** Counts the request once over all instances, where it is first sent to a server. */
+    const countRequest = () => {
+        if (!isCounted && deliveredSends === 0) {
+            parts.retryBudget.countRequest(service.name, monotonicMillis());
+            parts.hedging.countRequest(service.name, monotonicMillis());
+        }
+        isCounted = true;
+    };
+
+    /** Ends the request with the answer of a peer; false if the peer has not passed it on and another one may. */
+    const finishWithAnswerOfPeer = (peer: string, answer: ServerAnswer, sentMillis: number): boolean => {
+        const kind = readForwardedResult(answer);
+        if (kind === undefined) {
+            endBodyAtDeadline(answer.unreadBody);
+            finishRequest({
+                kind: "answered",
+                answer,
+                send: {
+                    server: peer,
+                    rank: 0,
+                    isRemote: false,
+                    expectedMillis: 0,
+                    waitedMillis: Math.round(sentMillis - arrivedMillis),
+                    tookMillis: Math.round(monotonicMillis() - sentMillis),
+                    sends: sends.count() + 1
+                }
+            });
+            return true;
+        }
+        if (unservedAnswers.includes(kind)) {
+            return false;
+        }
+        const isRefusal: boolean = finalAnswers[kind].notRun;
+        finishWithFinalAnswer(mayHaveRun && isRefusal ? "answerLost" : kind, readRetryAfterMillis(answer));
+        return true;
+    };
+
+    /** Forwards the request to a peer that reaches the service; false if no peer has passed it on. */
+    const forwardToPeer = async (): Promise<boolean> => {
+        const excludedPeers = new Set<string>();
+        while (!isFinished && excludedPeers.size < maxForwardedSends) {
+            const sentMillis = monotonicMillis();
+            const exchange = parts.peerForwarding.start(routed, {
+                deadlineMillis,
+                sends: deliveredSends,
+                excludedPeers
+            });
+            if (exchange === undefined) {
+                return false;
+            }
+            excludedPeers.add(exchange.peer);
+            forwardedExchange = exchange;
+            const outcome = await exchange.outcome;
+            forwardedExchange = undefined;
+            parts.metrics.forwardedSends.inc({ service: service.name, outcome: outcome.kind });
+            if (outcome.kind === "lost") {
+                // The peer may have sent the request to a server, and nothing tells how often.
+                mayHaveRun = true;
+                finishWithFinalAnswer("answerLost");
+            }
+            if (outcome.kind === "answered" && finishWithAnswerOfPeer(exchange.peer, outcome.answer, sentMillis)) {
+                return true;
+            }
+        }
+        return isFinished;
+    };
+
     const serve = async (): Promise<void> => {
         if (isQuarantined()) {
             finishWithFinalAnswer("quarantined");
             return;
         }
-        parts.retryBudget.countRequest(service.name, monotonicMillis());
-        parts.hedging.countRequest(service.name, monotonicMillis());
         for (let isNew = true; !isFinished; isNew = false) {
+            const isCutOff = parts.reachability.isCutOff(service.name);
+            if (mayForward() && (isCutOff || unreachableSends >= maxUnreachableSends)) {
+                if (await forwardToPeer()) {
+                    return;
+                }
+                if (isCutOff) {
+                    finishWithFinalAnswer(mayHaveRun ? "answerLost" : "unreachable", unreachableRetryMillis);
+                    return;
+                }
+            }
+            countRequest();
             const placementResult = await waitForPlacement(isNew);
             if (placementResult.kind === "ended") {
                 return;
             }
+            if (placementResult.kind === "cut off") {
+                continue;
+            }
             if (placementResult.kind === "refused") {
                 finishWithFinalAnswer(
                     mayHaveRun ? "answerLost" : placementResult.answer,
@@ -270,6 +385,7 @@
                 || (outcome.kind === "answered" && !outcome.answer.isNotExecuted);
             mayHaveRun ||= ran;
             deliveredSends += outcome.kind === "unreachable" ? 0 : 1;
+            unreachableSends += outcome.kind === "unreachable" ? 1 : 0;
             if (outcome.kind === "answered" && !outcome.answer.isNotExecuted && outcome.answer.isSigned) {
                 const isServerError = outcome.answer.status >= 500;
                 if (
--- a/packages/endivebridge-gateway/src/SnapshotTransfer.ts
+++ b/packages/endivebridge-gateway/src/SnapshotTransfer.ts
@@ -1,5 +1,5 @@
 import { startTransferTimer, type Teardown } from "@endivebridge/shared";
-import { createServer, get } from "node:http";
+import { createServer, get, type IncomingMessage, type RequestListener } from "node:http";
 import { type Either, Left } from "purify-ts";
 import type { EventLog } from "./EventLog";
 import { StateSnapshot } from "./StateSnapshot";
@@ -21,14 +21,29 @@
 /** Limit on the size of a snapshot; a configuration of thousands of routes is below a megabyte. */
 const maxSnapshotBytes = 16_777_216;
 
-/** Serves snapshots of this instance's state to starting instances; responds with 503 while the state is incomplete. */
-export function serveSnapshots(
-    host: string,
-    port: number,
-    makeSnapshot: () => StateSnapshot | undefined,
-    log: EventLog
+/** Address of the server for peers, and what it serves. */
+export interface PeerServerParts {
+    readonly host: string;
+    readonly port: number;
+    /** Undefined while the state is incomplete. */
+    readonly makeSnapshot: () => StateSnapshot | undefined;
+    readonly isForwarded: (message: IncomingMessage) => boolean;
+    readonly onForwarded: RequestListener;
+    readonly log: EventLog;
+}
+
+/** Connections between instances stay open for longer than a forwarding instance keeps them idle. */
+const idleTimeoutMillis = 15_000;
+
+/** Serves snapshots of this instance's state to starting instances, and the requests that peers forward. */
+export function startPeerServer(
+    { host, port, makeSnapshot, isForwarded, onForwarded, log }: PeerServerParts
 ): Teardown {
-    const server = createServer((request, response) => {
+    const server = createServer({ keepAliveTimeout: idleTimeoutMillis, noDelay: true }, (request, response) => {
+        if (isForwarded(request)) {
+            onForwarded(request, response);
+            return;
+        }
         const beliefs = request.url === path ? makeSnapshot() : undefined;
         if (beliefs === undefined) {
             response.writeHead(request.url === path ? 503 : 404, { "Content-Length": 0 }).end();
@@ -38,7 +53,7 @@
         response.writeHead(200, { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(body) });
         response.end(body);
     });
-    server.on("error", error => log.warn("beliefs", { error: error.message }, "state snapshot server failed"));
+    server.on("error", error => log.warn("beliefs", { error: error.message }, "server for peers failed"));
     server.listen(port, host);
     return () => {
         server.close();
--- a/packages/endivebridge-gateway/src/UpdateServerStatistics.ts
+++ b/packages/endivebridge-gateway/src/UpdateServerStatistics.ts
@@ -69,6 +69,13 @@
     }
 }
 
+/** Forgets the failures of a server that were not its own. */
+export function clearFailures(tracked: TrackedServer): void {
+    tracked.failedConnections = 0;
+    tracked.avoidUntilMillis = 0;
+    tracked.failureShare = 0;
+}
+
 function recordReportedLoad(
     dialect: Dialect,
     tracked: TrackedServer,
--- a/packages/endivebridge-gateway/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/CallerServer.test.ts
@@ -25,6 +25,7 @@
         dialect: { requestIdHeader: "x-id", deadlineHeader: "x-deadline", affinityCookie: "key" },
         configuration: () => undefined,
         whenStateComplete: () => sleep(answerDelayMillis),
+        readForwarded: () => undefined,
         isLeaving: () => false,
         stopEndMillis: () => Infinity,
         log: makeEventLog("test", "own", { write: () => undefined, takeDroppedCount: () => 0 }),
--- a/packages/endivebridge-gateway/src/__tests__/unit/PeerExchange.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/PeerExchange.test.ts
@@ -72,6 +72,7 @@
                 tableVersions: {},
                 membersKnown,
                 members: undefined,
+                cutOffServices: undefined,
                 crashes: undefined,
                 silentMembers: undefined,
                 rateLimits: undefined,
--- a/packages/endivebridge-traffic/src/Members.ts
+++ b/packages/endivebridge-traffic/src/Members.ts
@@ -33,6 +33,14 @@
     readonly silentMembers?: readonly string[] | undefined;
     /** Number of other instances that the instance knows. */
     readonly membersKnown?: number | undefined;
+    /** Services whose backend servers the instance cannot reach. */
+    readonly cutOffServices?: readonly string[] | undefined;
+}
+
+/** A live member with its incarnation, which only instances know. */
+export interface LiveMember {
+    readonly record: MemberRecord;
+    readonly incarnation: string;
 }
 
 interface Member {
@@ -50,6 +58,7 @@
     tableVersions: Readonly<Record<string, number>>;
     silentMembers?: readonly string[] | undefined;
     membersKnown?: number | undefined;
+    cutOffServices?: readonly string[] | undefined;
 }
 
 /** Membership list of the other instances known to this one. */
@@ -68,6 +77,8 @@
     readonly allRecords: () => readonly MemberRecord[];
     /** Live members that accept requests. */
     readonly ready: (nowMillis: number) => readonly MemberRecord[];
+    /** Live members that accept requests and reach the backend servers of the service. */
+    readonly reaching: (service: string, nowMillis: number) => readonly LiveMember[];
     /** Members with a report within the liveness timeout, ready or not. */
     readonly live: (nowMillis: number) => readonly MemberRecord[];
     /** Members that are not live. */
@@ -201,6 +212,10 @@
         },
         allRecords: () => cachedRecords ??= recordsWhere(() => true),
         ready: nowMillis => recordsWhere(member => member.isReady && isLive(member, nowMillis)),
+        reaching: (service, nowMillis) =>
+            [...members.values()].filter(member =>
+                member.isReady && isLive(member, nowMillis) && member.cutOffServices?.includes(service) !== true
+            ),
         live: nowMillis => recordsWhere(member => isLive(member, nowMillis)),
         silent: nowMillis => recordsWhere(member => !isLive(member, nowMillis)),
         possiblyRunning: nowMillis => {
--- a/packages/endivebridge-traffic/src/index.ts
+++ b/packages/endivebridge-traffic/src/index.ts
@@ -2,7 +2,7 @@
 export type { CallerLimits, Route, RouteTarget, Service, TrafficConfiguration } from "./Configuration";
 export { hashText, mixHashes } from "./Hash";
 export { type Hedging, makeHedging } from "./Hedging";
-export { makeMembers, type MemberRecord, type MemberReport, type Members } from "./Members";
+export { type LiveMember, makeMembers, type MemberRecord, type MemberReport, type Members } from "./Members";
 export {
     currentSlowness,
     makePlacement,
