--- a/packages/endivebridge-gateway/src/PeerExchange.ts
+++ b/packages/endivebridge-gateway/src/PeerExchange.ts
@@ -1,5 +1,12 @@
 import type { CrashReport } from "@endivebridge/core";
-import { monotonicMillis, type Teardown } from "@endivebridge/shared";
+import {
+    decodeUntrustedJson,
+    IpAddress,
+    monotonicMillis,
+    PortNumber,
+    type Teardown,
+    validEntries
+} from "@endivebridge/shared";
 import type { MemberRecord, MemberReport, Members } from "@endivebridge/traffic";
 import { createSocket } from "node:dgram";
 import { array, boolean, Codec, type GetType, number, optional, record, string } from "purify-ts";
@@ -8,8 +15,8 @@
 
 const MemberRecordCodec = Codec.interface({
     name: string,
-    host: string,
-    peerPort: number,
+    host: IpAddress,
+    peerPort: PortNumber,
     callerAddress: string,
     failureDomain: string,
     region: string
@@ -39,7 +46,7 @@
     /** Instances that the sender knows but does not hear. */
     silentMembers: optional(array(string)),
     /** Rate limits that answers to the sender stated. */
-    rateLimits: optional(array(
+    rateLimits: optional(validEntries(
         Codec.interface({ server: string, requestsPerSecond: optional(number), ageMillis: number })
     )),
     /** Services whose backend servers the sender cannot reach. */
@@ -47,9 +54,9 @@
     /** Number of other instances that the sender knows. */
     membersKnown: number,
     /** Records of some of these instances, for a receiver that knows fewer. */
-    members: optional(array(MemberRecordCodec)),
+    members: optional(validEntries(MemberRecordCodec)),
     /** Requests that backend servers had as they crashed. */
-    crashes: optional(array(CrashReportCodec))
+    crashes: optional(validEntries(CrashReportCodec))
 });
 
 type EncodedCrashReport = GetType<typeof CrashReportCodec>;
@@ -307,11 +314,5 @@
 }
 
 function decode(datagram: Buffer): PeerMessage | undefined {
-    try {
-        return PeerMessage.decode(JSON.parse(datagram.toString("utf8"))).toMaybe().extract();
-    }
-    catch {
-        // Not JSON; the receiver logs malformed messages.
-        return undefined;
-    }
+    return decodeUntrustedJson(PeerMessage, datagram).toMaybe().extract();
 }
--- a/packages/endivebridge-gateway/src/SnapshotTransfer.ts
+++ b/packages/endivebridge-gateway/src/SnapshotTransfer.ts
@@ -1,6 +1,6 @@
-import { startTransferTimer, type Teardown } from "@endivebridge/shared";
+import { decodeUntrustedJson, startTransferTimer, type Teardown } from "@endivebridge/shared";
 import { createServer, get, type IncomingMessage, type RequestListener } from "node:http";
-import { type Either, Left } from "purify-ts";
+import { type Either, Left, Right } from "purify-ts";
 import type { EventLog } from "./EventLog";
 import { StateSnapshot } from "./StateSnapshot";
 
@@ -97,12 +97,10 @@
 }
 
 function decode(body: Buffer): Either<string, StateSnapshot> {
-    try {
-        return StateSnapshot.decode(JSON.parse(body.toString("utf8")));
-    }
-    catch (error) {
-        return Left(`not JSON: ${String(error)}`);
-    }
+    return decodeUntrustedJson(StateSnapshot, body).chain(snapshot =>
+        // An instance without servers serves no snapshot, so that none of those listed was valid.
+        snapshot.servers.length > 0 ? Right(snapshot) : Left("snapshot names no valid server")
+    );
 }
 
 /** Inputs of the loop that fetches a snapshot from siblings. */
--- a/packages/endivebridge-gateway/src/StateSnapshot.ts
+++ b/packages/endivebridge-gateway/src/StateSnapshot.ts
@@ -1,5 +1,6 @@
+import { IpAddress, PortNumber, validEntries } from "@endivebridge/shared";
 import type { BackendServer, TrafficConfiguration } from "@endivebridge/traffic";
-import { array, boolean, Codec, type GetType, number, string } from "purify-ts";
+import { array, boolean, Codec, type GetType, number, Right, string } from "purify-ts";
 
 const RouteCodec = Codec.interface({
     name: string,
@@ -15,19 +16,25 @@
     homeRegions: array(string)
 });
 
+/** JSON has no infinity; null stands for it. */
+const NumberOrInfinity = Codec.custom<number>({
+    decode: value => value === null ? Right(Infinity) : number.decode(value), // eslint-disable-line no-restricted-syntax
+    encode: value => Number.isFinite(value) ? value : null // eslint-disable-line no-restricted-syntax
+});
+
 const ServiceCodec = Codec.interface({
     name: string,
     healthPath: string,
     maximumConnections: number,
     coldStartMillis: number,
-    coldRequestsPerSecond: number
+    coldRequestsPerSecond: NumberOrInfinity
 });
 
 const ServerCodec = Codec.interface({
     id: string,
     service: string,
-    host: string,
-    port: number,
+    host: IpAddress,
+    port: PortNumber,
     failureDomain: string,
     region: string,
     slots: number,
@@ -47,7 +54,7 @@
         headerTimeoutMillis: number,
         idleTimeoutMillis: number
     }),
-    servers: array(ServerCodec),
+    servers: validEntries(ServerCodec),
     evacuatedDomains: array(string)
 });
 
--- a/packages/endivebridge-platform/src/InstanceList.ts
+++ b/packages/endivebridge-platform/src/InstanceList.ts
@@ -1,5 +1,16 @@
 import { Schema } from "effect";
 
+/** `host:port` with a port that can be connected to. */
+const Address = Schema.String.check(Schema.makeFilter(text => {
+    const separator = text.lastIndexOf(":");
+    const port = text.slice(separator + 1);
+    return /^[\w.-]+$/.test(text.slice(0, separator)) && /^\d{1,5}$/.test(port) && Number(port) >= 1
+        && Number(port) <= 65_535;
+}));
+
+/** Far above what a machine serves at a time; a larger number is a mistake. */
+const maxSlots = 100_000;
+
 const Common = {
     instance: Schema.String,
     failureDomain: Schema.String,
@@ -11,21 +22,21 @@
     ...Common,
     kind: Schema.Literal("entry"),
     /** `host:port` for callers, as reachable from the failure domain of the reader. */
-    callerAddress: Schema.String,
+    callerAddress: Address,
     /** `host:port` for other entry instances, as reachable from the failure domain of the reader. */
-    peerAddress: Schema.String
+    peerAddress: Address
 });
 
 const BackendServer = Schema.Struct({
     ...Common,
     kind: Schema.Literal("backend"),
     service: Schema.String,
-    address: Schema.String,
-    slots: Schema.Int
+    address: Address,
+    slots: Schema.Int.check(Schema.isBetween({ minimum: 1, maximum: maxSlots }))
 });
 
-/** Schema of the platform's instance list, which names entry instances and backend servers. */
-export const ListedInstances = Schema.Array(Schema.Union([EntryInstance, BackendServer]));
+/** Schema of an entry of the platform's instance list, which names entry instances and backend servers. */
+export const ListedInstance = Schema.Union([EntryInstance, BackendServer]);
 
 /** An entry instance in the instance list, with its addresses for callers and for peers. */
 export type ListedEntryInstance = typeof EntryInstance.Type;
@@ -34,4 +45,4 @@
 export type ListedBackendServer = typeof BackendServer.Type;
 
 /** Any entry of the instance list; `kind` tells entry instances and backend servers apart. */
-export type ListedInstance = ListedEntryInstance | ListedBackendServer;
+export type ListedInstance = typeof ListedInstance.Type;
--- a/packages/endivebridge-platform/src/PlatformClient.ts
+++ b/packages/endivebridge-platform/src/PlatformClient.ts
@@ -2,7 +2,7 @@
 import { Effect, Result, Schema } from "effect";
 import { randomBytes } from "node:crypto";
 import { Agent } from "node:http";
-import { type ListedInstance, ListedInstances } from "./InstanceList";
+import { ListedInstance } from "./InstanceList";
 
 /** Reason why a call to the platform failed. */
 export type PlatformFailure =
@@ -83,15 +83,33 @@
 const maxCachedResponses = 8;
 
 const EnvelopeSchema = Schema.Struct({ writeIds: Schema.Array(Schema.String), value: Schema.Unknown });
-const TableRowsSchema = Schema.Array(Schema.Struct({ key: Schema.String, version: Schema.Int, value: Schema.Unknown }));
+const TableRowSchema = Schema.Struct({ key: Schema.String, version: Schema.Int, value: Schema.Unknown });
 const ObjectKeysSchema = Schema.Array(Schema.String);
 
 function unavailable(detail: string): PlatformFailure {
     return { kind: "unavailable", detail };
 }
 
+/** Decodes a value of another writer; one that is nested too deeply for the decoder is a failure too. */
+function tryDecode<Value>(schema: Schema.Codec<Value, unknown>, value: unknown): Result.Result<Value, unknown> {
+    try {
+        return Schema.decodeUnknownResult(schema)(value);
+    }
+    catch (error) {
+        return Result.fail(error);
+    }
+}
+
+/** Decodes a list without the entries that cannot be decoded, so that an odd one costs only itself. */
+function decodeEntries<Value>(schema: Schema.Codec<Value, unknown>, entries: readonly unknown[]): readonly Value[] {
+    return entries.flatMap(entry => {
+        const result = tryDecode(schema, entry);
+        return Result.isSuccess(result) ? [result.success] : [];
+    });
+}
+
 function decode<Value>(schema: Schema.Codec<Value, unknown>, value: unknown): Effect.Effect<Value, PlatformFailure> {
-    const result = Schema.decodeUnknownResult(schema)(value);
+    const result = tryDecode(schema, value);
     return Result.isSuccess(result)
         ? Effect.succeed(result.success)
         : Effect.fail({ kind: "malformed", detail: String(result.failure).slice(0, 200) });
@@ -289,7 +307,8 @@
         scanRows: prefix =>
             Effect.gen(function*() {
                 const answer = yield* call("GET", `/table?prefix=${encodeURIComponent(prefix)}`);
-                const rows = yield* decode(TableRowsSchema, yield* parseJson(answer.body));
+                const entries = yield* decode(Schema.Array(Schema.Unknown), yield* parseJson(answer.body));
+                const rows = decodeEntries(TableRowSchema, entries);
                 const firstVersion = parseEra(answer) * versionsPerEra;
                 return rows.map(row => ({
                     ...row,
@@ -307,7 +326,8 @@
         listInstances: viewer =>
             Effect.gen(function*() {
                 const answer = yield* getIfChanged(`/instances?viewer=${encodeURIComponent(viewer)}`);
-                return yield* decode(ListedInstances, yield* parseJson(answer.body));
+                const entries = yield* decode(Schema.Array(Schema.Unknown), yield* parseJson(answer.body));
+                return decodeEntries(ListedInstance, entries);
             }),
         era: () => newestEra ?? 0,
         registerEraListener: listener => {
--- a/packages/endivebridge-platform/src/index.ts
+++ b/packages/endivebridge-platform/src/index.ts
@@ -1,9 +1,4 @@
-export {
-    type ListedBackendServer,
-    type ListedEntryInstance,
-    type ListedInstance,
-    ListedInstances
-} from "./InstanceList";
+export { type ListedBackendServer, type ListedEntryInstance, ListedInstance } from "./InstanceList";
 export {
     makePlatformClient,
     type NewRow,
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,10 +1,12 @@
 export { isConnectionHeader } from "./ConnectionHeaders";
+export { decodeUntrusted, decodeUntrustedJson, integerBetween, validEntries } from "./DecodeUntrusted";
 export { GuardedAgent } from "./GuardedAgent";
 export { httpExchange, type HttpFailure, type HttpRequestOptions, type HttpResponse } from "./HttpExchange";
 export { invariant } from "./Invariant";
 export { limitBytesWithoutProgress, type ProgressLimit } from "./LimitBytesWithoutProgress";
 export { mergeTeardowns, type Teardown } from "./MergeTeardowns";
 export { monotonicMillis } from "./MonotonicMillis";
+export { IpAddress, PortNumber } from "./NetworkCodecs";
 export { range } from "./Range";
 export { type ConnectionProbeOptions, type ProbeTarget, registerConnectionProbes } from "./RegisterConnectionProbes";
 export { makeState, type State } from "./State";
