Gateway: a deadline beside a crash does not report a request as not run

Cause: the outcome of a send was counted as a possible run only after the look at the server's address, which takes a round trip, and a quarter of a second if nothing answers. In between the send was no longer in flight and not yet counted, so that a deadline in that time found no run. Ruled out by reading: bytes of a request leave only after the connection counts as used; a reset while the request is written counts as lost. A lost send whose later hedge found no server was forgotten in the same way.

Fix: RequestSends records a possible run as each send ends and is the only place that knows. The look at the address is an argument.

--- a/packages/endivebridge-gateway/src/CrashAttribution.ts
+++ b/packages/endivebridge-gateway/src/CrashAttribution.ts
@@ -1,5 +1,5 @@
 import { type CrashRecords, recordLostSend } from "@endivebridge/core";
-import { isRefusingConnections, monotonicMillis } from "@endivebridge/shared";
+import { monotonicMillis } from "@endivebridge/shared";
 import { type CallerRequest, requestFingerprint } from "./CallerRequest";
 import type { EventLog } from "./EventLog";
 import type { GatewayMetrics } from "./GatewayMetrics";
@@ -10,13 +10,15 @@
     readonly crashRecords: CrashRecords;
     /** Reports a crash to all peers at once, as callers send the request again to any instance. */
     readonly announceCrash: () => void;
+    /** Whether the process at the address has ended. */
+    readonly hasServerEnded: (host: string, port: number) => Promise<boolean>;
     readonly log: EventLog;
     readonly metrics: GatewayMetrics;
 }
 
 /** Records what one send says about whether the request crashes servers; resolves once that is known. */
 export async function attributeCrash(
-    { crashRecords, announceCrash, log, metrics }: CrashAttributionParts,
+    { crashRecords, announceCrash, hasServerEnded, log, metrics }: CrashAttributionParts,
     request: CallerRequest,
     { placed, outcome, sentMillis, tookMillis, ranAlone }: CompletedAttempt
 ): Promise<void> {
@@ -39,7 +41,7 @@
         sentMillis,
         lostMillis: sentMillis + tookMillis,
         wasAlone: ranAlone
-    }, () => isRefusingConnections(host, port));
+    }, () => hasServerEnded(host, port));
     metrics.lostSends.inc({ crash: cause });
     if (cause !== "none") {
         announceCrash();
--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -1,5 +1,5 @@
 import { makeCrashRecords, makeServiceReachability } from "@endivebridge/core";
-import { monotonicMillis, registerConnectionProbes, type Teardown } from "@endivebridge/shared";
+import { isRefusingConnections, monotonicMillis, registerConnectionProbes, type Teardown } from "@endivebridge/shared";
 import {
     type BackendServer,
     initialEstimateMillis,
@@ -278,6 +278,7 @@
                 estimates,
                 crashRecords,
                 announceCrash: announceSoon,
+                hasServerEnded: isRefusingConnections,
                 reachability,
                 recordConnection,
                 peerForwarding,
--- a/packages/endivebridge-gateway/src/RequestSends.ts
+++ b/packages/endivebridge-gateway/src/RequestSends.ts
@@ -27,7 +27,7 @@
     /** Cancels the sends in flight and prevents further hedging. */
     readonly cancel: () => void;
     readonly count: () => number;
-    /** Whether a send in flight may have reached its server. */
+    /** Whether any send, ended or in flight, may have been run by its server. */
     readonly mayHaveRun: () => boolean;
     readonly logRepeatedSend: (kind: "resend" | "hedge", placed: Placed, detail: string, tookMillis: number) => void;
 }
@@ -53,6 +53,19 @@
     hedge: "sending a hedged second attempt while the first is in flight"
 };
 
+function mayHaveBeenRun(outcome: ExchangeOutcome): boolean {
+    switch (outcome.kind) {
+        case "answered":
+            return !outcome.answer.isNotExecuted;
+        case "unreachable":
+            return false;
+        case "lost":
+            return true;
+        case "cancelled":
+            return outcome.mayHaveRun;
+    }
+}
+
 /** Creates the sends of one request without starting any. */
 export function makeRequestSends(
     parts: RunRequestParts,
@@ -63,6 +76,7 @@
     const exchanges = new Set<Exchange>();
     let count = 0;
     let isCancelled = false;
+    let hasRunPossibly = false;
 
     const cancelRunning = () => exchanges.forEach(exchange => exchange.cancel());
 
@@ -111,6 +125,8 @@
         });
         exchanges.add(exchange);
         const outcome = await exchange.outcome;
+        // Recorded at once: the deadline may pass while the outcome is still being evaluated.
+        hasRunPossibly ||= mayHaveBeenRun(outcome);
         exchanges.delete(exchange);
         const tookMillis = monotonicMillis() - sentMillis;
         const ranAlone = startedAlone && isOnlyRequest();
@@ -168,7 +184,7 @@
             cancelRunning();
         },
         count: () => count,
-        mayHaveRun: () => [...exchanges].some(exchange => exchange.mayHaveRun()),
+        mayHaveRun: () => hasRunPossibly || [...exchanges].some(exchange => exchange.mayHaveRun()),
         logRepeatedSend
     };
 }
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -83,6 +83,8 @@
     readonly crashRecords: CrashRecords;
     /** Reports a crash to all peers at once. */
     readonly announceCrash: () => void;
+    /** Whether the process at the address has ended. */
+    readonly hasServerEnded: (host: string, port: number) => Promise<boolean>;
     readonly reachability: Pick<ServiceReachability, "isCutOff">;
     /** Records whether a new connection to a backend server could be opened. */
     readonly recordConnection: (server: BackendServer, isOpen: boolean) => void;
@@ -136,7 +138,7 @@
     const keyHash = affinityHash(request, route);
     const triedServers = new Set<string>();
     let isFinished = false;
-    let mayHaveRun = false;
+    let isHopLost = false;
     /** Number of sends that may have reached a server; failed connection attempts do not count. */
     let deliveredSends = forwarded?.sends ?? 0;
     let unreachableSends = 0;
@@ -159,11 +161,10 @@
     };
     const finishWithFinalAnswer = (answer: FinalAnswerKind, retryAfterMillis?: number) =>
         finishRequest({ kind: "own", answer, retryAfterMillis });
+    /** Whether a backend server may have run the request, over this instance or a peer. */
+    const mayHaveRun = () => isHopLost || sends.mayHaveRun() || forwardedExchange?.mayHaveRun() === true;
     const deadlineTimer = setTimeout(
-        () => {
-            const hasSendInFlight = sends.mayHaveRun() || forwardedExchange?.mayHaveRun() === true;
-            finishWithFinalAnswer(mayHaveRun || hasSendInFlight ? "timedOut" : "timedOutBeforeRun");
-        },
+        () => finishWithFinalAnswer(mayHaveRun() ? "timedOut" : "timedOutBeforeRun"),
         Math.max(0, deadlineMillis - monotonicMillis())
     );
 
@@ -252,7 +253,7 @@
     /** Whether the request may be sent again; spends the retry budget if the last send may have reached a server. */
     const tryReserveRetry = (mayHaveReachedServer: boolean): boolean => {
         const hasExhaustedAttempts = deliveredSends >= route.maximumAttempts || sends.count() >= maxSends;
-        if (hasExhaustedAttempts || (mayHaveRun && !route.isIdempotent)) {
+        if (hasExhaustedAttempts || (mayHaveRun() && !route.isIdempotent)) {
             return false;
         }
         const nowMillis = monotonicMillis();
@@ -304,7 +305,7 @@
             return false;
         }
         const isRefusal: boolean = finalAnswers[kind].notRun;
-        finishWithFinalAnswer(mayHaveRun && isRefusal ? "answerLost" : kind, readRetryAfterMillis(answer));
+        finishWithFinalAnswer(mayHaveRun() && isRefusal ? "answerLost" : kind, readRetryAfterMillis(answer));
         return true;
     };
 
@@ -328,7 +329,7 @@
             parts.metrics.forwardedSends.inc({ service: service.name, outcome: outcome.kind });
             if (outcome.kind === "lost") {
                 // The peer may have sent the request to a server, and nothing tells how often.
-                mayHaveRun = true;
+                isHopLost = true;
                 finishWithFinalAnswer("answerLost");
             }
             if (outcome.kind === "answered" && finishWithAnswerOfPeer(exchange.peer, outcome.answer, sentMillis)) {
@@ -350,7 +351,7 @@
                     return;
                 }
                 if (isCutOff) {
-                    finishWithFinalAnswer(mayHaveRun ? "answerLost" : "unreachable", unreachableRetryMillis);
+                    finishWithFinalAnswer(mayHaveRun() ? "answerLost" : "unreachable", unreachableRetryMillis);
                     return;
                 }
             }
@@ -364,7 +365,7 @@
             }
             if (placementResult.kind === "refused") {
                 finishWithFinalAnswer(
-                    mayHaveRun ? "answerLost" : placementResult.answer,
+                    mayHaveRun() ? "answerLost" : placementResult.answer,
                     placementResult.retryAfterMillis
                 );
                 return;
@@ -381,9 +382,6 @@
             if (outcome.kind === "cancelled") {
                 return;
             }
-            const ran = outcome.kind === "lost"
-                || (outcome.kind === "answered" && !outcome.answer.isNotExecuted);
-            mayHaveRun ||= ran;
             deliveredSends += outcome.kind === "unreachable" ? 0 : 1;
             unreachableSends += outcome.kind === "unreachable" ? 1 : 0;
             if (outcome.kind === "answered" && !outcome.answer.isNotExecuted && outcome.answer.isSigned) {
@@ -421,7 +419,7 @@
                 sends.logRepeatedSend("resend", placed, detail, tookMillis);
                 continue;
             }
-            if (mayHaveRun) {
+            if (mayHaveRun()) {
                 finishWithFinalAnswer("answerLost");
             }
             else if (outcome.kind === "unreachable") {
