Daemon: test of an instance that reaches no backend server

The stand-in of the platform can show servers under other addresses to the instances of one failure domain. The test passes with and without the verdict of ServiceReachability: where connections are refused, the daemon's pauses and its forwarding to peers with free slots serve all callers; the verdict saves them the failed tries. Connections that hang were not played at this front door.

--- a/packages/endivebridge-bench/src/Testbed.ts
+++ b/packages/endivebridge-bench/src/Testbed.ts
@@ -26,10 +26,12 @@
 }
 
 /** A complete deployment on loopback: stand-in platform and servers, network links and entry instances. */
-export interface Testbed
-    extends
-        Pick<TestbedLinks, "peerLinks" | "callerLinks" | "platformLinks" | "backendLinks" | "openCallerRoute">,
-        Omit<InstanceControl, "awaitReady"> {
+export interface Testbed extends
+    Pick<
+        TestbedLinks,
+        "peerLinks" | "callerLinks" | "platformLinks" | "backendLinks" | "views" | "openCallerRoute"
+    >,
+    Omit<InstanceControl, "awaitReady"> {
     readonly deployment: Deployment;
     readonly platform: PlatformStandIn;
     readonly platformClient: PlatformClient;
@@ -126,7 +128,7 @@
     const leavingServers = new Set<string>();
     const parts: ListedParts = { instances, backends, backendLinks: links.backendLinks, leavingServers };
     const publishInstanceList = () => platform.setInstances(makeInstanceList(parts));
-    platform.setPeerAddressMappings(links.views);
+    platform.setAddressMappings(links.views);
     publishInstanceList();
     const configuration = baseConfiguration(deployment);
     options.configure?.(configuration);
--- a/packages/endivebridge-bench/src/__tests__/integration/Faults.test.ts
+++ b/packages/endivebridge-bench/src/__tests__/integration/Faults.test.ts
@@ -7,6 +7,7 @@
     noViolations,
     pause,
     runSmallLoad,
+    smallDeployment,
     startSmallTestbed,
     usableSlots,
     waitUntil
@@ -143,3 +144,27 @@
         await testbed.close();
     }
 });
+
+test.serial("serves the callers of an instance that reaches no backend server over a peer of its region", async t => {
+    const testbed = await startSmallTestbed({
+        deployment: { ...smallDeployment, domainsPerRegion: 2, instancesPerDomain: 1 }
+    });
+    try {
+        const closedAddress = "127.0.0.1:1";
+        const closedServers = Object.fromEntries(
+            testbed.backends.map(({ standIn }) => [`127.0.0.1:${standIn.port}`, closedAddress])
+        );
+        testbed.platform.setAddressMappings({
+            ...testbed.views,
+            "west-1": { ...testbed.views["west-1"], ...closedServers }
+        });
+        testbed.publishInstanceList();
+        await runSmallLoad(testbed, 0.2, { seconds: 4 });
+        const { safety, all } = evaluateRun(testbed, await runSmallLoad(testbed, 0.2, { seconds: 4 }));
+        t.like(safety, { wrongAnswers: 0, falseNotRun: 0 });
+        t.true(all.answered >= 0.99 * all.sent);
+    }
+    finally {
+        await testbed.close();
+    }
+});
--- a/packages/endivebridge-standins/src/PlatformStandIn.ts
+++ b/packages/endivebridge-standins/src/PlatformStandIn.ts
@@ -27,8 +27,8 @@
     readonly port: number;
     readonly faults: PlatformFaults;
     readonly setInstances: (instances: readonly unknown[]) => void;
-    /** Sets the peer addresses seen from each failure domain: a map from failure domain to real address to seen address. */
-    readonly setPeerAddressMappings: (views: Readonly<Record<string, Readonly<Record<string, string>>>>) => void;
+    /** Sets the addresses of peers and servers seen from each failure domain: a map from failure domain to real address to seen address. */
+    readonly setAddressMappings: (views: Readonly<Record<string, Readonly<Record<string, string>>>>) => void;
     readonly record: () => PlatformRecord;
     readonly rows: () => ReadonlyMap<string, StoredRow>;
     /** Copies the table; `returnToCopy` loses all that was written since. */
@@ -195,9 +195,13 @@
         }
         const view = addressViews[url.searchParams.get("viewer") ?? ""] ?? {};
         const visibleInstances = list.instances.map(each => {
-            const entry = each as { readonly peerAddress?: string; };
-            const address = entry.peerAddress;
-            return address === undefined ? entry : { ...entry, peerAddress: view[address] ?? address };
+            const entry = each as { readonly peerAddress?: string; readonly address?: string; };
+            const { peerAddress, address } = entry;
+            return {
+                ...entry,
+                ...peerAddress === undefined ? {} : { peerAddress: view[peerAddress] ?? peerAddress },
+                ...address === undefined ? {} : { address: view[address] ?? address }
+            };
         });
         reply(response, 200, JSON.stringify(visibleInstances), list.version);
     };
@@ -252,7 +256,7 @@
                 instances
             }];
         },
-        setPeerAddressMappings: next => addressViews = next,
+        setAddressMappings: next => addressViews = next,
         record: () => ({
             writes,
             reads,
