Gateway: a forwarded request that a restarted peer does not accept has not run

Found by reading: the peer answered 404 without the request's id to an incarnation that it no longer has, which the sender took for an answer to another request and so for a possible run (502). It refuses as not ready now, so that the sender asks another peer. The server for peers accepts larger headers than that for callers, since the hop adds one. Test: PartitionedInstance, a forged header; it got 404 before.

--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -29,7 +29,7 @@
 import { makeInstanceCount } from "./InstanceCount";
 import { makeKnownState } from "./KnownState";
 import { memberLivenessMillis, startPeerExchange } from "./PeerExchange";
-import { makePeerForwarding, readForwardedRequest } from "./PeerForwarding";
+import { isForwardedRequest, makePeerForwarding, readForwardedRequest, refuseUnknownSender } from "./PeerForwarding";
 import { makeRateLimitReports } from "./RateLimitReports";
 import { makeRateLimitShares } from "./RateLimitSharing";
 import { makeRegionBalancing } from "./RegionBalancing";
@@ -415,8 +415,15 @@
         host: own.host,
         port: own.peerPort,
         makeSnapshot: beliefs.makeSnapshot,
-        isForwarded: message => readForwardedRequest(message, incarnation) !== undefined,
-        onForwarded: forwardedServer.handleRequest,
+        isForwarded: isForwardedRequest,
+        onForwarded: (message, response) => {
+            if (readForwardedRequest(message, incarnation) === undefined) {
+                refuseUnknownSender(dialect, message, response);
+            }
+            else {
+                forwardedServer.handleRequest(message, response);
+            }
+        },
         log
     });
     const stopSnapshotRequests = startSnapshotRequests({
--- a/packages/endivebridge-gateway/src/PeerForwarding.ts
+++ b/packages/endivebridge-gateway/src/PeerForwarding.ts
@@ -1,6 +1,6 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import type { LiveMember, MemberRecord, Members, Route } from "@endivebridge/traffic";
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Dialect } from "./Dialect";
 import { type Exchange, type ServerAnswer, startExchange } from "./Exchange";
 import { type FinalAnswerKind, finalAnswers } from "./FinalAnswers";
@@ -148,6 +148,24 @@
         : undefined;
 }
 
+/** Whether a message claims to be a request that an instance forwards. */
+export function isForwardedRequest(message: IncomingMessage): boolean {
+    return message.headers[forwardedRequestHeader] !== undefined;
+}
+
+/** Refuses a request whose sender does not name this incarnation: it is no instance, or does not know of the restart. */
+export function refuseUnknownSender(dialect: Dialect, message: IncomingMessage, response: ServerResponse): void {
+    const id = message.headers[dialect.requestIdHeader];
+    const kind: FinalAnswerKind = "notReady";
+    response.writeHead(finalAnswers[kind].status, {
+        "Content-Length": 0,
+        "Connection": "close",
+        ...id === undefined ? {} : { [dialect.requestIdHeader]: id },
+        [forwardedResultHeader]: kind
+    });
+    response.end();
+}
+
 /** The peer's own final answer to a forwarded request; undefined if it returns the answer of a backend server. */
 export function readForwardedResult({ headers, isSigned }: ServerAnswer): FinalAnswerKind | undefined {
     const kind = headers[forwardedResultHeader];
--- a/packages/endivebridge-gateway/src/SnapshotTransfer.ts
+++ b/packages/endivebridge-gateway/src/SnapshotTransfer.ts
@@ -27,6 +27,7 @@
     readonly port: number;
     /** Undefined while the state is incomplete. */
     readonly makeSnapshot: () => StateSnapshot | undefined;
+    /** Whether a message is a request that an instance forwards, and not one for the snapshot. */
     readonly isForwarded: (message: IncomingMessage) => boolean;
     readonly onForwarded: RequestListener;
     readonly log: EventLog;
@@ -35,11 +36,18 @@
 /** Connections between instances stay open for longer than a forwarding instance keeps them idle. */
 const idleTimeoutMillis = 15_000;
 
+/** Above the limit for callers, as a forwarded request has one more header. */
+const maxHeaderBytes = 65_536;
+
 /** Serves snapshots of this instance's state to starting instances, and the requests that peers forward. */
 export function startPeerServer(
     { host, port, makeSnapshot, isForwarded, onForwarded, log }: PeerServerParts
 ): Teardown {
-    const server = createServer({ keepAliveTimeout: idleTimeoutMillis, noDelay: true }, (request, response) => {
+    const server = createServer({
+        keepAliveTimeout: idleTimeoutMillis,
+        maxHeaderSize: maxHeaderBytes,
+        noDelay: true
+    }, (request, response) => {
         if (isForwarded(request)) {
             onForwarded(request, response);
             return;
