--- a/packages/endivebridge-daemon/src/Poison.ts
+++ b/packages/endivebridge-daemon/src/Poison.ts
@@ -36,7 +36,7 @@
         server: lost.server,
         sentMillis: lost.sentMillis,
         lostMillis: lost.lostMillis,
-        wasAlone: lost.wasIsolated
+        wasIsolated: lost.wasIsolated
     }, () => isRefusingConnections(lost.address.slice(0, separator), Number(lost.address.slice(separator + 1))));
     if (cause === "none") {
         return;
--- a/packages/endivebridge-gateway/src/CrashAttribution.ts
+++ b/packages/endivebridge-gateway/src/CrashAttribution.ts
@@ -16,6 +16,9 @@
     readonly metrics: GatewayMetrics;
 }
 
+/** A crash within this time of the send happened as the server began to run the request. */
+const crashAtStartMillis = 60;
+
 /** Records what one send says about whether the request crashes servers; resolves once that is known. */
 export async function attributeCrash(
     { crashRecords, announceCrash, hasServerEnded, log, metrics }: CrashAttributionParts,
@@ -40,7 +43,8 @@
         server: `${id}/${bornEpochMillis}`,
         sentMillis,
         lostMillis: sentMillis + tookMillis,
-        wasAlone: ranAlone
+        // Beside other requests on the server, only a crash right at the start identifies the request at fault.
+        wasIsolated: ranAlone || tookMillis < crashAtStartMillis
     }, () => hasServerEnded(host, port));
     metrics.lostSends.inc({ crash: cause });
     if (cause !== "none") {
