--- a/review/harness/Deployment.mjs
+++ b/review/harness/Deployment.mjs
@@ -267,11 +267,11 @@
 export async function startPlatform({ backends, configuration: document }) {
     const store = await startStore();
     store.put("op", "config", document);
-    backends.forEach(({ id, port }) =>
+    backends.forEach(({ id, port, service = "desk" }) =>
         store.put("servers", id, {
             address: `127.0.0.1:${port}`,
             born: Date.now() - 60_000,
-            info: { service: "desk", version: "v1", zone: "fraser-a", slots: 4 },
+            info: { service, version: "v1", zone: "fraser-a", slots: 4 },
             status: { state: "ready", seq: 4, coldLeft: "0ms" }
         })
     );
