--- a/review/harness/Deployment.mjs
+++ b/review/harness/Deployment.mjs
@@ -11,13 +11,17 @@
 
 export const repository = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 
-export const ports = { callers: 8_144, readiness: 8_140, directory: 8_143, firstPeer: 7_660, metrics: 9_464 };
 const readyTimeoutMillis = 20_000;
 
 /** Instances that run; none outlives the script. */
 const running = new Set();
 process.on("exit", () => running.forEach(child => child.kill("SIGKILL")));
 ["SIGINT", "SIGTERM"].forEach(signal => process.on(signal, () => process.exit(2)));
+// A fault of the script itself is no broken rule.
+process.on("uncaughtException", error => {
+    process.stderr.write(`could not run: ${error.stack ?? error}\n`);
+    process.exit(2);
+});
 
 function listen(server, host) {
     return new Promise((resolve, reject) => {
@@ -26,6 +30,19 @@
     });
 }
 
+/** Finds different ports that nothing on the machine listens on. */
+async function findFreePorts(count) {
+    const servers = Array.from({ length: count }, () => createServer());
+    const found = await Promise.all(servers.map(server => listen(server, "0.0.0.0")));
+    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
+    return found;
+}
+
+const [callers, readiness, directory, firstPeer] = await findFreePorts(4);
+
+/** Ports of all instances, which differ in their addresses. */
+export const ports = { callers, readiness, directory, firstPeer };
+
 function readBody(incoming) {
     return new Promise((resolve, reject) => {
         const chunks = [];
