--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -38,7 +38,7 @@
 import { fetchSnapshot, type SnapshotSource, startPeerServer, startSnapshotRequests } from "./SnapshotTransfer";
 import { makeStartupWait } from "./StartupWait";
 import { configurationOf } from "./StateSnapshot";
-import { makeTableVersions } from "./TableVersions";
+import { makeTableVersions, type TableConfirmation } from "./TableVersions";
 import { clearFailures } from "./UpdateServerStatistics";
 
 /** Settings of one gateway. */
@@ -70,6 +70,12 @@
     readonly recordTableVersion: (table: string, version: number, era: number) => void;
     /** Registers a listener for tables of which a peer has read a newer version or a later era than this instance. */
     readonly registerNewerTableVersionListener: (listener: (table: string, version: number) => void) => Teardown;
+    /** Records that all changes of a table of the store were known, which is sent to peers. */
+    readonly recordTableConfirmation: (table: string, confirmation: TableConfirmation) => void;
+    /** Registers a listener for the confirmations of tables that peers report. */
+    readonly registerTableConfirmationListener: (
+        listener: (table: string, confirmation: TableConfirmation) => void
+    ) => Teardown;
     /** Whether some live member has had access to the store for at least this long. */
     readonly hasMemberWithStoreAccess: (millis: number) => boolean;
     /** Adds the instances that the platform lists; without other ones, this instance counts as alone. */
@@ -131,6 +137,7 @@
     let hasStoreSinceMillis: number | undefined;
     const tableVersions = makeTableVersions();
     const newerTableListeners = new Set<(table: string, version: number) => void>();
+    const tableConfirmationListeners = new Set<(table: string, confirmation: TableConfirmation) => void>();
 
     const beliefs = makeKnownState({
         pool,
@@ -383,6 +390,10 @@
             for (const [table, version] of tableVersions.newerIn(report)) {
                 newerTableListeners.forEach(listener => listener(table, version));
             }
+            for (const [table, { version, ageMillis }] of Object.entries(report.tableConfirmations ?? {})) {
+                const confirmation = { version, ageMillis, era: report.storeEra ?? 0 };
+                tableConfirmationListeners.forEach(listener => listener(table, confirmation));
+            }
             if (report.configurationVersion !== undefined) {
                 catchUp.recordPeerVersion(report.record, report.configurationVersion, monotonicMillis());
             }
@@ -458,6 +469,11 @@
             newerTableListeners.add(listener);
             return () => newerTableListeners.delete(listener);
         },
+        recordTableConfirmation: tableVersions.recordConfirmation,
+        registerTableConfirmationListener: listener => {
+            tableConfirmationListeners.add(listener);
+            return () => tableConfirmationListeners.delete(listener);
+        },
         hasMemberWithStoreAccess: millis => members.hasMemberWithStoreFor(millis, monotonicMillis()),
         addListedMembers: records => {
             const nowMillis = monotonicMillis();
--- a/packages/endivebridge-gateway/src/PeerExchange.ts
+++ b/packages/endivebridge-gateway/src/PeerExchange.ts
@@ -42,6 +42,8 @@
     hasStoreMillis: optional(number),
     tableVersions: record(string, number),
     storeEra: optional(number),
+    /** When the sender last knew all changes of a table; instances of earlier versions do not send them. */
+    tableConfirmations: optional(record(string, Codec.interface({ version: number, ageMillis: number }))),
     configurationVersion: optional(number),
     /** Instances that the sender knows but does not hear. */
     silentMembers: optional(array(string)),
@@ -147,6 +149,7 @@
             hasStoreMillis: message.hasStoreMillis,
             silentMembers: message.silentMembers,
             storeEra: message.storeEra,
+            tableConfirmations: message.tableConfirmations,
             configurationVersion: message.configurationVersion,
             cutOffServices: message.cutOffServices
         };
@@ -177,6 +180,7 @@
             hasStoreMillis,
             tableVersions,
             storeEra,
+            tableConfirmations,
             configurationVersion,
             cutOffServices
         } = parts.describeSelf();
@@ -190,6 +194,7 @@
             hasStoreMillis,
             tableVersions: { ...tableVersions },
             storeEra,
+            tableConfirmations: tableConfirmations === undefined ? undefined : { ...tableConfirmations },
             configurationVersion,
             cutOffServices: cutOffServices === undefined || cutOffServices.length === 0
                 ? undefined
--- a/packages/endivebridge-gateway/src/TableVersions.ts
+++ b/packages/endivebridge-gateway/src/TableVersions.ts
@@ -1,19 +1,50 @@
+import { monotonicMillis } from "@endivebridge/shared";
 import type { MemberReport } from "@endivebridge/traffic";
 
-/** Newest version that an instance has read from each table of the store, and the era of the versions. */
+/** A moment at which an instance knew all changes of a table. */
+export interface TableConfirmation {
+    /** The table held no changes after this version. */
+    readonly version: number;
+    readonly era: number;
+    /** Time since that moment. */
+    readonly ageMillis: number;
+}
+
+/** Newest version that an instance has read from each table of the store, when it did, and the era of the versions. */
 export interface TableVersions {
-    readonly current: () => Pick<MemberReport, "tableVersions" | "storeEra">;
+    readonly current: () => Pick<MemberReport, "tableVersions" | "storeEra" | "tableConfirmations">;
     readonly record: (table: string, version: number, era: number) => void;
+    readonly recordConfirmation: (table: string, confirmation: TableConfirmation) => void;
     /** Tables of which a peer has read a newer version; infinite if it has read a later era of the store. */
     readonly newerIn: (report: Pick<MemberReport, "tableVersions" | "storeEra">) => readonly [string, number][];
 }
 
+interface Confirmed {
+    readonly version: number;
+    readonly era: number;
+    readonly atMillis: number;
+    readonly atEpochMillis: number;
+}
+
 /** Creates the versions of an instance that has read no table. */
 export function makeTableVersions(): TableVersions {
     let storeEra = 0;
     let versions: Record<string, number> = {};
+    const confirmations = new Map<string, Confirmed>();
+
+    const describeConfirmations = () =>
+        Object.fromEntries(
+            [...confirmations]
+                .filter(([, { era }]) => era === storeEra)
+                .map(([table, { version, atMillis, atEpochMillis }]) => [table, {
+                    version,
+                    // The monotonic clock stands still while the machine is suspended; the time of day may be set back.
+                    ageMillis: Math.round(Math.max(monotonicMillis() - atMillis, Date.now() - atEpochMillis))
+                }])
+        );
+
     return {
-        current: () => ({ tableVersions: versions, storeEra }),
+        current: () => ({ tableVersions: versions, storeEra, tableConfirmations: describeConfirmations() }),
         record: (table, version, era) => {
             if (era < storeEra) {
                 return;
@@ -24,6 +55,14 @@
             }
             versions[table] = Math.max(versions[table] ?? 0, version);
         },
+        recordConfirmation: (table, { version, era, ageMillis }) => {
+            confirmations.set(table, {
+                version,
+                era,
+                atMillis: monotonicMillis() - ageMillis,
+                atEpochMillis: Date.now() - ageMillis
+            });
+        },
         newerIn: report => {
             const peerEra = report.storeEra ?? 0;
             if (peerEra > storeEra) {
--- a/packages/endivebridge-gateway/src/__tests__/unit/PeerExchange.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/PeerExchange.test.ts
@@ -77,6 +77,7 @@
                 silentMembers: undefined,
                 rateLimits: undefined,
                 storeEra: undefined,
+                tableConfirmations: undefined,
                 configurationVersion: undefined
             };
             peer.send(JSON.stringify(answer), instancePort, host);
--- a/packages/endivebridge-gateway/src/index.ts
+++ b/packages/endivebridge-gateway/src/index.ts
@@ -5,3 +5,4 @@
 export { type Gateway, type GatewaySettings, startGateway } from "./Gateway";
 export { type GatewayMetrics, makeGatewayMetrics } from "./GatewayMetrics";
 export { type LineWriter, makeLineWriter, writeToStandardOutput } from "./LineWriter";
+export type { TableConfirmation } from "./TableVersions";
--- a/packages/endivebridge-traffic/src/Members.ts
+++ b/packages/endivebridge-traffic/src/Members.ts
@@ -27,6 +27,10 @@
     readonly tableVersions: Readonly<Record<string, number>>;
     /** Era of the store that the table versions belong to; versions of different eras cannot be compared. */
     readonly storeEra?: number | undefined;
+    /** By table, the version after which it held no changes when the instance last read it, and how long ago. */
+    readonly tableConfirmations?:
+        | Readonly<Record<string, { readonly version: number; readonly ageMillis: number; }>>
+        | undefined;
     /** Version of the configuration in force. */
     readonly configurationVersion?: number | undefined;
     /** Names of known members from which the instance has no recent report. */
