Gateway, daemon: a status outside 200 to 599 is no answer

At the daemon's own interface, a caller whose server sent 000 got no answer at all.

Cause: Node.js takes any three digits as a status and throws when it is to send one below 100. Nothing checked the status before.

Such a send now counts as lost, at both front doors and over peers: repeated where that is safe, otherwise 502; also where the answer says that the request has not run.

The set-up of EndlessBytes.test.ts in endivebridge-bench moves to SingleInstance.ts, its checks unchanged.

--- a/packages/endivebridge-bench/src/__tests__/integration/EndlessBytes.test.ts
+++ b/packages/endivebridge-bench/src/__tests__/integration/EndlessBytes.test.ts
@@ -1,19 +1,11 @@
 // Guards against requests that are held, answered wrongly or leak memory or connections when a backend server sends
 // bytes without end.
-import {
-    endlessBodies,
-    endlessBytesAfter,
-    endlessNonAnswers,
-    type EndlessResponse,
-    type EndlessStandIn,
-    startEndlessStandIn
-} from "@endivebridge/standins";
+import { endlessBodies, endlessBytesAfter, endlessNonAnswers, type EndlessResponse } from "@endivebridge/standins";
 import test, { type ExecutionContext } from "ava";
 import { readFileSync } from "node:fs";
 import { type IncomingMessage, request as openRequest } from "node:http";
-import type { Deployment } from "../../Deployment";
-import type { Testbed } from "../../Testbed";
-import { type InstanceView, pause, startSmallTestbed, waitUntil } from "./SmallTestbed";
+import { type SingleInstance, startSingleInstance } from "./SingleInstance";
+import { pause } from "./SmallTestbed";
 
 const deadlineMillis = 1_500;
 /** A failure is known from the first bytes beyond the limits, long before the deadline. */
@@ -24,74 +16,26 @@
 /** Bytes that a server can send to a caller that does not read, socket buffers included. */
 const maxUnreadBytes = 32 * 1_048_576;
 
-const deployment: Deployment = {
-    name: "single",
-    regions: ["east"],
-    domainsPerRegion: 1,
-    instancesPerDomain: 1,
-    interDomainDelayMillis: 0,
-    interRegionDelayMillis: 0,
-    clientDelayMillis: 0,
-    interRegionMegabitsPerSecond: 280,
-    services: [
-        { service: "circulation", servers: 1, slots: 4, readPath: "/holds", writePath: "/checkouts", writeShare: 0 }
-    ]
-};
-
-let testbed: Testbed;
-let standIns: readonly EndlessStandIn[];
+let single: SingleInstance;
 let nextResponse: EndlessResponse | undefined;
 /** Whether hedged and repeated sends get the endless response too. */
 let isResponseRepeated = false;
 
 const okHead = "HTTP/1.1 200 OK\r\nX-Server: stand-in\r\n";
 const answer = `${okHead}Content-Length: 6\r\n\r\nanswer`;
-const load = "{\"inFlight\":0,\"slots\":4}";
 
 test.before(async () => {
-    testbed = await startSmallTestbed({ deployment });
-    const entry = testbed.instances[0]!;
-    standIns = await Promise.all([0, 1].map(() =>
-        startEndlessStandIn({
-            requestIdHeader: "Endivebridge-Request",
-            respond: id => {
-                if (id === "") {
-                    return `HTTP/1.1 200 OK\r\nContent-Length: ${load.length}\r\n\r\n${load}`;
-                }
-                const response = nextResponse ?? answer;
-                nextResponse = isResponseRepeated ? nextResponse : undefined;
-                return response;
-            }
-        })
-    ));
-    const { domain: failureDomain, region, callerAddress, peerAddress } = entry;
-    testbed.platform.setInstances([
-        { kind: "entry", instance: entry.instance, failureDomain, region, state: "live", callerAddress, peerAddress },
-        ...standIns.map(({ port }, index) => ({
-            kind: "backend",
-            instance: `endless-${index}`,
-            failureDomain,
-            region,
-            state: "live",
-            service: "circulation",
-            address: `127.0.0.1:${port}`,
-            slots: 4
-        }))
-    ]);
-    await waitUntil(async () => {
-        const view = await testbed.queryOperatorApi(entry, "operator/instance") as InstanceView;
-        const usable = view.services[0]!.servers.filter(({ usableSlots }) => usableSlots > 0);
-        return usable.length === 2 && usable.every(({ server }) => server.startsWith("endless"));
+    single = await startSingleInstance(() => {
+        const response = nextResponse ?? answer;
+        nextResponse = isResponseRepeated ? nextResponse : undefined;
+        return response;
     });
 });
 
-test.after.always(async () => {
-    await testbed.close();
-    await Promise.all(standIns.map(standIn => standIn.close()));
-});
+test.after.always(() => single.close());
 
 function residentBytes(): number {
-    const status = readFileSync(`/proc/${testbed.instances[0]!.process!.pid}/status`, "utf8");
+    const status = readFileSync(`/proc/${single.testbed.instances[0]!.process!.pid}/status`, "utf8");
     return Number(/VmRSS:\s*(\d+)/.exec(status)?.[1]) * 1_024;
 }
 
@@ -118,7 +62,7 @@
     nextResponse = response;
     isResponseRepeated = isRepeated;
     const startedMillis = performance.now();
-    const [host, port] = testbed.instances[0]!.callerAddress.split(":");
+    const [host, port] = single.testbed.instances[0]!.callerAddress.split(":");
     return new Promise(resolve => {
         let status = 0;
         let body = "";
@@ -148,7 +92,7 @@
     });
 }
 
-const endlessConnections = () => standIns.flatMap(standIn => standIn.endlessConnections);
+const endlessConnections = () => single.standIns.flatMap(standIn => standIn.endlessConnections);
 
 /** Runs a call and checks that it closes all endless connections and that the instance's memory stays bounded. */
 async function checkBounded(t: ExecutionContext, run: () => Promise<Received>): Promise<Received> {
--- a/packages/endivebridge-daemon/src/DispatchRequest.ts
+++ b/packages/endivebridge-daemon/src/DispatchRequest.ts
@@ -1,5 +1,5 @@
 import { type ErrorKind, type HeldSlot, recordLatency } from "@endivebridge/core";
-import { limitBytesWithoutProgress, monotonicMillis } from "@endivebridge/shared";
+import { isFinalStatus, limitBytesWithoutProgress, monotonicMillis } from "@endivebridge/shared";
 import { Result } from "effect";
 import { type IncomingMessage, request as openRequest } from "node:http";
 import type { BackendConnections } from "./BackendConnections";
@@ -233,7 +233,7 @@
         progressLimit.recordProgress();
         clearInterval(silenceTimer);
         const head = parseAnswerHead(response);
-        if (!isFramed(request, response.statusCode ?? 0, head)) {
+        if (!isFinalStatus(response.statusCode) || !isFramed(request, response.statusCode ?? 0, head)) {
             lost();
             return;
         }
--- a/packages/endivebridge-gateway/src/Exchange.ts
+++ b/packages/endivebridge-gateway/src/Exchange.ts
@@ -1,4 +1,4 @@
-import { limitBytesWithoutProgress, monotonicMillis } from "@endivebridge/shared";
+import { isFinalStatus, limitBytesWithoutProgress, monotonicMillis } from "@endivebridge/shared";
 import { type IncomingMessage, request as openRequest } from "node:http";
 import type { Dialect } from "./Dialect";
 import { registerHiddenResetListener } from "./RegisterHiddenResetListener";
@@ -132,6 +132,10 @@
         progressLimit.recordProgress();
         const { headers } = incoming;
         const status = incoming.statusCode ?? 0;
+        if (!isFinalStatus(status)) {
+            fail(`invalid status ${status}`, false);
+            return;
+        }
         const answeredId = headers[dialect.requestIdHeader];
         const isNotExecuted = headers[dialect.notExecutedHeader] !== undefined || status === misdirectedRequestStatus;
         // A late response to an earlier request carries that request's id, or none if it is a refusal.
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -3,6 +3,7 @@
 export { GuardedAgent } from "./GuardedAgent";
 export { httpExchange, type HttpFailure, type HttpRequestOptions, type HttpResponse } from "./HttpExchange";
 export { invariant } from "./Invariant";
+export { isFinalStatus } from "./IsFinalStatus";
 export { limitBytesWithoutProgress, type ProgressLimit } from "./LimitBytesWithoutProgress";
 export { mergeTeardowns, type Teardown } from "./MergeTeardowns";
 export { monotonicMillis } from "./MonotonicMillis";
