Gateway, daemon: bodies take the memory of their bytes, whatever their chunks

Endless answers in chunks of 8 bytes to callers that do not read took 276 MB of 350 MB; without the deploy file's arguments of Node.js, 716 MB.

Cause: bodies were kept as the list of chunks that the parser reported, each an object of some 200 bytes. A body that is paused is queued by Node.js in the same way.

Bodies of answers and uploads are collected in blocks now, and the rest of a large answer is read in blocks and paused only between two reads. Answers that callers have not read take a quarter of the memory at most; beyond it, those unread for the longest time are cut, logged and counted.

Ruled out: buffers that await collection, whose memory fell as soon as the answers had ended.

--- a/packages/endivebridge-daemon/src/CallerRequest.ts
+++ b/packages/endivebridge-daemon/src/CallerRequest.ts
@@ -1,6 +1,6 @@
 import { type SteeringError, steeringError } from "@endivebridge/core";
 import type { ServiceDefinition } from "@endivebridge/settings";
-import { monotonicMillis } from "@endivebridge/shared";
+import { makeByteCollector, monotonicMillis } from "@endivebridge/shared";
 import { Effect } from "effect";
 import type { IncomingMessage } from "node:http";
 import type { Context } from "./Context";
@@ -110,18 +110,16 @@
         return Effect.succeed(emptyBody);
     }
     return Effect.callback<Buffer, SteeringError>(resume => {
-        const chunks: Buffer[] = [];
-        let length = 0;
+        const body = makeByteCollector();
         incoming.on("data", (chunk: Buffer) => {
-            length += chunk.length;
-            if (length > maxBytes) {
+            if (body.length() + chunk.length > maxBytes) {
                 incoming.pause();
                 resume(refuse("bodyTooLarge", `at most ${maxBytes} bytes`));
                 return;
             }
-            chunks.push(chunk);
+            body.append(chunk);
         });
-        incoming.on("end", () => resume(Effect.succeed(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))));
+        incoming.on("end", () => resume(Effect.succeed(body.take())));
         incoming.on("error", error => resume(refuse("badRequest", error.message)));
     });
 }
--- a/packages/endivebridge-daemon/src/DispatchRequest.ts
+++ b/packages/endivebridge-daemon/src/DispatchRequest.ts
@@ -1,5 +1,11 @@
 import { type ErrorKind, type HeldSlot, recordLatency } from "@endivebridge/core";
-import { isFinalStatus, limitBytesWithoutProgress, monotonicMillis } from "@endivebridge/shared";
+import {
+    isFinalStatus,
+    limitBytesWithoutProgress,
+    makeByteCollector,
+    MessageBody,
+    monotonicMillis
+} from "@endivebridge/shared";
 import { Result } from "effect";
 import { type IncomingMessage, request as openRequest } from "node:http";
 import type { BackendConnections } from "./BackendConnections";
@@ -237,23 +243,23 @@
             lost();
             return;
         }
-        const chunks: Buffer[] = [];
-        let length = 0;
+        const held = makeByteCollector();
         const maxBufferedBytes = request.idempotent ? options.heldAnswerBytes : maxRetainedAnswerBytes;
-        const answer = (remainingBody: IncomingMessage | undefined): Answer => ({
+        const answer = (remainingBody: MessageBody | undefined): Answer => ({
             status: response.statusCode ?? 502,
             headers: remainingBody !== undefined && head.contentLength !== undefined
                 ? [...head.headerLines, ["Content-Length", head.contentLength]]
                 : head.headerLines,
-            body: Buffer.concat(chunks),
+            body: held.take(),
             remainingBody,
             server
         });
         const onData = (chunk: Buffer) => {
             progressLimit.recordProgress();
-            length += chunk.length;
-            chunks.push(chunk);
-            if (length <= maxBufferedBytes || isEnded) {
+            if (!isEnded) {
+                held.append(chunk);
+            }
+            if (held.length() <= maxBufferedBytes || isEnded) {
                 return;
             }
             if (head.notRun) {
@@ -273,8 +279,7 @@
             );
             response.once("close", () => clearTimeout(bodyTimer));
             response.off("data", onData);
-            response.pause();
-            onResult(Result.succeed(answer(response)));
+            onResult(Result.succeed(answer(new MessageBody(response))));
         };
         response.on("data", onData);
         response.on("error", lost);
--- a/packages/endivebridge-gateway/src/CallerConnection.ts
+++ b/packages/endivebridge-gateway/src/CallerConnection.ts
@@ -2,7 +2,13 @@
 import type { Socket } from "node:net";
 
 /** What closed a caller's connection: the caller, or this instance for the given reason; `fault` is an internal error. */
-export type ConnectionCloser = "caller" | "closingAnswer" | "truncatedAnswer" | "protocolError" | "fault";
+export type ConnectionCloser =
+    | "caller"
+    | "closingAnswer"
+    | "truncatedAnswer"
+    | "unreadAnswer"
+    | "protocolError"
+    | "fault";
 
 /** One connection of a caller, with its requests whose answers are not written yet. */
 export interface CallerConnection {
--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -1,4 +1,4 @@
-import { monotonicMillis } from "@endivebridge/shared";
+import { makeByteCollector, monotonicMillis } from "@endivebridge/shared";
 import type { AttemptAgeEstimator, RouteTable, TrafficConfiguration, TrafficSplit } from "@endivebridge/traffic";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
@@ -18,6 +18,7 @@
 import type { ForwardedRequest } from "./PeerForwarding";
 import { forwardedResultHeader } from "./PeerHeaders";
 import { effectivePatienceMillis, type RequestResult, type RoutedRequest, type RunningRequest } from "./RunRequest";
+import type { UnreadAnswers } from "./UnreadAnswers";
 
 /** The current configuration with its route lookup table. */
 export interface ConfigurationInForce {
@@ -34,6 +35,7 @@
     readonly whenStateComplete: () => Promise<void> | undefined;
     readonly trafficSplit: TrafficSplit;
     readonly attemptAgeEstimator: AttemptAgeEstimator;
+    readonly unreadAnswers: UnreadAnswers;
     readonly run: (routed: RoutedRequest) => RunningRequest;
     /** Decodes what a peer says of a request that it forwards; undefined for requests of callers. */
     readonly readForwarded: (message: IncomingMessage) => ForwardedRequest | undefined;
@@ -87,6 +89,8 @@
 /** Idle connections stay open longer than declared, so that none closes while a timely request is under way to it. */
 const idleTimeoutMarginMillis = 1_000;
 const initialIdleTimeoutMillis = 60_000;
+/** Memory that the rest of a large answer takes on its way: in the connections on both sides, and between them. */
+const streamBufferBytes = 163_840;
 /**
  * Retry-After of a 503 that is decided before the request runs, unless the instance is shutting down. The usual cause is
  * a configuration that is not loaded yet, and loading usually takes less than this.
@@ -135,7 +139,7 @@
             return Promise.resolve(Buffer.alloc(0));
         }
         return new Promise(resolve => {
-            const chunks: Buffer[] = [];
+            const chunks = makeByteCollector();
             let length = 0;
             message.on("data", (chunk: Buffer) => {
                 length += chunk.length;
@@ -146,9 +150,9 @@
                     resolve(length > maxBodyBytes ? "too large" : "full");
                     return;
                 }
-                chunks.push(chunk);
+                chunks.append(chunk);
             });
-            message.on("end", () => resolve(Buffer.concat(chunks)));
+            message.on("end", () => resolve(chunks.take()));
             message.on("close", () => resolve("disconnected"));
             message.on("error", () => resolve("disconnected"));
             message.once("close", () => bufferedBytes -= length);
@@ -191,6 +195,11 @@
         method: string,
         answer: ServerAnswer
     ) => {
+        const countUnread = (bytes: number) =>
+            parts.unreadAnswers.add(response, bytes, () => {
+                connection.recordClosing("unreadAnswer");
+                response.destroy();
+            });
         const headers = endToEndHeaders(answer.rawHeaders, answer.headers.connection);
         const flat = headers.flatMap(([name, value]) => [name, value]);
         if (closesConnection(connectionRequest)) {
@@ -205,8 +214,9 @@
             );
             response.write(answer.body);
             const { unreadBody } = answer;
+            countUnread(answer.body.length + streamBufferBytes);
             unreadBody.once("close", () => {
-                if (!unreadBody.complete && connection.closedBy() === undefined) {
+                if (!unreadBody.isComplete && connection.closedBy() === undefined) {
                     connection.recordClosing("truncatedAnswer");
                 }
             });
@@ -214,6 +224,7 @@
             pipeline(unreadBody, response, () => undefined);
             return;
         }
+        countUnread(answer.body.length);
         const hasBody = answer.status !== 204 && answer.status !== 304;
         if (!answer.hasDeclaredLength && hasBody && method !== "HEAD") {
             if (connectionRequest.hasInServiceBehind()) {
@@ -460,7 +471,7 @@
 /** Reports an answer as lost if the rest of its body was lost before its head could be sent. */
 function withoutLostBody(result: RequestResult): RequestResult {
     const unreadBody = result.kind === "answered" ? result.answer.unreadBody : undefined;
-    return unreadBody?.destroyed === true && !unreadBody.complete
+    return unreadBody?.destroyed === true && !unreadBody.isComplete
         ? { kind: "own", answer: "answerLost", retryAfterMillis: undefined }
         : result;
 }
--- a/packages/endivebridge-gateway/src/Exchange.ts
+++ b/packages/endivebridge-gateway/src/Exchange.ts
@@ -1,4 +1,10 @@
-import { isFinalStatus, limitBytesWithoutProgress, monotonicMillis } from "@endivebridge/shared";
+import {
+    isFinalStatus,
+    limitBytesWithoutProgress,
+    makeByteCollector,
+    MessageBody,
+    monotonicMillis
+} from "@endivebridge/shared";
 import { type IncomingMessage, request as openRequest } from "node:http";
 import type { Dialect } from "./Dialect";
 import { registerHiddenResetListener } from "./RegisterHiddenResetListener";
@@ -36,7 +42,7 @@
     readonly rawHeaders: readonly string[];
     readonly body: Buffer;
     /** Unread remainder of a response that is too large to be buffered. */
-    readonly unreadBody: IncomingMessage | undefined;
+    readonly unreadBody: MessageBody | undefined;
     readonly isNotExecuted: boolean;
     readonly isSigned: boolean;
     /** Whether the response is framed by a length or chunks; otherwise a truncated body cannot be detected. */
@@ -157,13 +163,12 @@
             });
             incoming.once("close", unregister);
         }
-        const chunks: Buffer[] = [];
-        let length = 0;
-        const answer = (unreadBody: IncomingMessage | undefined): ServerAnswer => ({
+        const held = makeByteCollector();
+        const answer = (unreadBody: MessageBody | undefined): ServerAnswer => ({
             status,
             headers,
             rawHeaders: incoming.rawHeaders,
-            body: Buffer.concat(chunks),
+            body: held.take(),
             unreadBody,
             isNotExecuted,
             isSigned: headers[dialect.signatureHeader] !== undefined,
@@ -171,9 +176,8 @@
         });
         const onData = (chunk: Buffer) => {
             progressLimit.recordProgress();
-            chunks.push(chunk);
-            length += chunk.length;
-            if (length > heldAnswerBytes) {
+            held.append(chunk);
+            if (held.length() > heldAnswerBytes) {
                 if (isNotExecuted) {
                     // The head alone tells that the request did not run; the body is not returned to the caller.
                     finish({ kind: "answered", answer: answer(undefined) });
@@ -184,9 +188,8 @@
                     fail("answer without a signature exceeds the buffer limit", false);
                     return;
                 }
-                incoming.pause();
                 incoming.off("data", onData);
-                finish({ kind: "answered", answer: answer(incoming) });
+                finish({ kind: "answered", answer: answer(new MessageBody(incoming)) });
             }
         };
         incoming.on("data", onData);
--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -39,6 +39,7 @@
 import { makeStartupWait } from "./StartupWait";
 import { configurationOf } from "./StateSnapshot";
 import { makeTableVersions, type TableConfirmation } from "./TableVersions";
+import { makeUnreadAnswers } from "./UnreadAnswers";
 import { clearFailures } from "./UpdateServerStatistics";
 
 /** Settings of one gateway. */
@@ -53,6 +54,8 @@
     readonly shiftShareInTwoSeconds: number;
     /** Time between the stop signal and the forced end of the process. */
     readonly stopTimeoutMillis: number;
+    /** Memory that the process may use. */
+    readonly memoryBytes: number;
 }
 
 /** One running gateway: commands that change its state, and queries. */
@@ -273,6 +276,7 @@
         whenStateComplete: startupWait.whenStateComplete,
         trafficSplit,
         attemptAgeEstimator: makeAttemptAgeEstimator(),
+        unreadAnswers: makeUnreadAnswers(settings.memoryBytes, log, metrics),
         run: routed =>
             runRequest({
                 dialect,
--- a/packages/endivebridge-gateway/src/GatewayMetrics.ts
+++ b/packages/endivebridge-gateway/src/GatewayMetrics.ts
@@ -63,6 +63,11 @@
             labelNames: ["kind"],
             registers
         }),
+        unreadAnswersCut: new Counter({
+            name: "endivebridge_unread_answers_cut_total",
+            help: "Answers cut because answers that callers did not read exceeded the memory limit",
+            registers
+        }),
         cutRequests: new Counter({
             name: "endivebridge_cut_requests_total",
             help: "Requests still open when the instance ended its shutdown, by stage",
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,3 +1,4 @@
+export { type ByteCollector, makeByteCollector } from "./ByteCollector";
 export { isConnectionHeader } from "./ConnectionHeaders";
 export { decodeUntrusted, decodeUntrustedJson, integerBetween, validEntries } from "./DecodeUntrusted";
 export { GuardedAgent } from "./GuardedAgent";
@@ -6,6 +7,7 @@
 export { isFinalStatus } from "./IsFinalStatus";
 export { limitBytesWithoutProgress, type ProgressLimit } from "./LimitBytesWithoutProgress";
 export { mergeTeardowns, type Teardown } from "./MergeTeardowns";
+export { MessageBody } from "./MessageBody";
 export { monotonicMillis } from "./MonotonicMillis";
 export { IpAddress, PortNumber } from "./NetworkCodecs";
 export { range } from "./Range";
