Gateway: a target that cannot be sent on is rejected, and keeps no slot

Any caller could stop an instance: eight requests with a tab in their target (GET /search/a<TAB>b) took all slots of two servers for good, and sound requests got 503.

Cause: the parser of Node.js takes a tab or form feed in a target, and sending the request throws, after its slot was reserved.

Such a target now gets 400 before a slot is sought; so too over peers. The daemon's own interface has had such a check (targetPattern).

--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -1,4 +1,4 @@
-import { makeByteCollector, monotonicMillis } from "@endivebridge/shared";
+import { isRequestTarget, makeByteCollector, monotonicMillis } from "@endivebridge/shared";
 import type { AttemptAgeEstimator, RouteTable, TrafficConfiguration, TrafficSplit } from "@endivebridge/traffic";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
@@ -252,6 +252,9 @@
         forwarded: ForwardedRequest | undefined,
         arrivedMillis: number
     ): RoutedRequest | FinalAnswerKind => {
+        if (!isRequestTarget(request.target)) {
+            return "badRequest";
+        }
         const inForce = parts.configuration();
         if (inForce === undefined || (forwarded?.configurationVersion ?? 0) > inForce.configuration.version) {
             return "notReady";
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -5,6 +5,7 @@
 export { httpExchange, type HttpFailure, type HttpRequestOptions, type HttpResponse } from "./HttpExchange";
 export { invariant } from "./Invariant";
 export { isFinalStatus } from "./IsFinalStatus";
+export { isRequestTarget } from "./IsRequestTarget";
 export { limitBytesWithoutProgress, type ProgressLimit } from "./LimitBytesWithoutProgress";
 export { mergeTeardowns, type Teardown } from "./MergeTeardowns";
 export { MessageBody } from "./MessageBody";
