Gateway: a header may have the name of an object property

A request with a header named `constructor` got no answer; its connection was closed, with the requests behind it.

Cause: headers were grouped in an object literal, in which such a name finds the inherited property. They are grouped in a map now. The result of a forwarded request is looked up among the own properties only, too.

--- a/packages/endivebridge-gateway/src/CallerRequest.ts
+++ b/packages/endivebridge-gateway/src/CallerRequest.ts
@@ -37,13 +37,14 @@
     return kept;
 }
 
+/** Groups values by name; a caller may send the names of object properties, such as `constructor`. */
 function groupHeaders(pairs: readonly (readonly [string, string])[]): Record<string, string | string[]> {
-    const grouped: Record<string, string | string[]> = {};
+    const grouped = new Map<string, string | string[]>();
     for (const [name, value] of pairs) {
-        const known = grouped[name];
-        grouped[name] = known === undefined ? value : [...typeof known === "string" ? [known] : known, value];
+        const known = grouped.get(name);
+        grouped.set(name, known === undefined ? value : [...typeof known === "string" ? [known] : known, value]);
     }
-    return grouped;
+    return Object.fromEntries(grouped);
 }
 
 function cookieValue(header: string | undefined, cookie: string): string | undefined {
--- a/packages/endivebridge-gateway/src/PeerForwarding.ts
+++ b/packages/endivebridge-gateway/src/PeerForwarding.ts
@@ -169,7 +169,7 @@
 /** The peer's own final answer to a forwarded request; undefined if it returns the answer of a backend server. */
 export function readForwardedResult({ headers, isSigned }: ServerAnswer): FinalAnswerKind | undefined {
     const kind = headers[forwardedResultHeader];
-    return typeof kind === "string" && kind in finalAnswers
+    return typeof kind === "string" && Object.hasOwn(finalAnswers, kind)
         ? kind as FinalAnswerKind
         : isSigned
         ? undefined
