--- a/packages/endivebridge-gateway/src/TableVersions.ts
+++ b/packages/endivebridge-gateway/src/TableVersions.ts
@@ -26,6 +26,14 @@
     readonly atEpochMillis: number;
 }
 
+/** Older confirmations are not sent again; several messages to each peer have carried them. */
+const maxReportedAgeMillis = 1_500;
+
+/** The monotonic clock stands still while the machine is suspended; the time of day may be set back. */
+function ageOf({ atMillis, atEpochMillis }: Confirmed): number {
+    return Math.round(Math.max(monotonicMillis() - atMillis, Date.now() - atEpochMillis));
+}
+
 /** Creates the versions of an instance that has read no table. */
 export function makeTableVersions(): TableVersions {
     let storeEra = 0;
@@ -36,11 +44,10 @@
         Object.fromEntries(
             [...confirmations]
                 .filter(([, { era }]) => era === storeEra)
-                .map(([table, { version, atMillis, atEpochMillis }]) => [table, {
-                    version,
-                    // The monotonic clock stands still while the machine is suspended; the time of day may be set back.
-                    ageMillis: Math.round(Math.max(monotonicMillis() - atMillis, Date.now() - atEpochMillis))
-                }])
+                .map(([table, confirmed]) =>
+                    [table, { version: confirmed.version, ageMillis: ageOf(confirmed) }] as const
+                )
+                .filter(([, { ageMillis }]) => ageMillis <= maxReportedAgeMillis)
         );
 
     return {
