Gateway: a server that announces to leave gets no further requests

The header was not read: 322 of 324 late requests reached such a server while its row was `ready`.

An instance now keeps the announcement for the process (id and start), in touch or not, over rows that say otherwise or come back, and places nothing on it. Callers do not get the header.

--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -200,7 +200,8 @@
                 connection.recordClosing("unreadAnswer");
                 response.destroy();
             });
-        const headers = endToEndHeaders(answer.rawHeaders, answer.headers.connection);
+        const headers = endToEndHeaders(answer.rawHeaders, answer.headers.connection)
+            .filter(([name]) => name.toLowerCase() !== parts.dialect.serverLeavingHeader);
         const flat = headers.flatMap(([name, value]) => [name, value]);
         if (closesConnection(connectionRequest)) {
             flat.push("Connection", "close");
--- a/packages/endivebridge-gateway/src/Dialect.ts
+++ b/packages/endivebridge-gateway/src/Dialect.ts
@@ -16,6 +16,9 @@
     readonly serverLoadHeader: string;
     /** Header with the requests per second that the backend server accepts from all instances together. */
     readonly serverLimitHeader: string;
+    /** Header that an answer has once its backend server is leaving; callers do not get it. */
+    readonly serverLeavingHeader: string;
+    readonly isServerLeaving: (text: string) => boolean;
     readonly parseServerLimit: (text: string) => number | undefined;
     readonly parseServerLoad: (text: string) => ServerLoad | undefined;
 }
--- a/packages/endivebridge-gateway/src/Exchange.ts
+++ b/packages/endivebridge-gateway/src/Exchange.ts
@@ -61,7 +61,8 @@
 /** Responses up to this size are buffered until complete, so that a truncated one never looks complete. */
 const heldAnswerBytes = 262_144;
 
-const misdirectedRequestStatus = 421;
+/** Status of a server that the request does not name. */
+export const misdirectedRequestStatus = 421;
 
 /** Sends a request once; resolves with the answer when it is complete or exceeds the buffer limit. */
 export function startExchange(dialect: Dialect, call: ExchangeCall): Exchange {
--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -3,6 +3,7 @@
 import {
     type BackendServer,
     initialEstimateMillis,
+    isLeaving,
     makeAttemptAgeEstimator,
     makeHedging,
     makeMembers,
@@ -253,7 +254,7 @@
     /** One server of each service that is cut off, so that the end of a partition is noticed. */
     const chooseProbedServers = (): readonly BackendServer[] =>
         reachability.cutOffServices().flatMap(name => {
-            const servers = pool.ofService(name).filter(tracked => !tracked.server.isLeaving);
+            const servers = pool.ofService(name).filter(tracked => !isLeaving(tracked));
             const chosen = servers[Math.floor(Math.random() * servers.length)];
             if (chosen === undefined) {
                 reachability.forget(name);
@@ -358,7 +359,7 @@
         serviceNames,
         usableServers: name =>
             pool.ofService(name).filter(tracked =>
-                !tracked.server.isLeaving && !beliefs.isEvacuated(tracked.server.failureDomain)
+                !isLeaving(tracked) && !beliefs.isEvacuated(tracked.server.failureDomain)
             ),
         roundTripMillis: otherRegionRoundTripMillis,
         objectiveMillis: name => meanOverRoutes(name, route => route.objectiveMillis),
--- a/packages/endivebridge-gateway/src/GatewayMetrics.ts
+++ b/packages/endivebridge-gateway/src/GatewayMetrics.ts
@@ -63,6 +63,12 @@
             labelNames: ["kind"],
             registers
         }),
+        serversAnnouncedLeaving: new Counter({
+            name: "endivebridge_servers_announced_leaving_total",
+            help: "Backend servers that announced in an answer to this instance that they are leaving",
+            labelNames: ["service"],
+            registers
+        }),
         unreadAnswersCut: new Counter({
             name: "endivebridge_unread_answers_cut_total",
             help: "Answers cut because answers that callers did not read exceeded the memory limit",
--- a/packages/endivebridge-gateway/src/UpdateServerStatistics.ts
+++ b/packages/endivebridge-gateway/src/UpdateServerStatistics.ts
@@ -9,7 +9,8 @@
 } from "@endivebridge/traffic";
 import type { Dialect } from "./Dialect";
 import type { EventLog } from "./EventLog";
-import type { ExchangeOutcome, ServerAnswer } from "./Exchange";
+import { type ExchangeOutcome, misdirectedRequestStatus, type ServerAnswer } from "./Exchange";
+import type { GatewayMetrics } from "./GatewayMetrics";
 import type { RateLimitReports } from "./RateLimitReports";
 
 /** A send with its route, server, outcome and duration. */
@@ -29,6 +30,7 @@
     readonly estimates: ServiceTimeEstimates;
     readonly rateLimitReports: RateLimitReports;
     readonly log: EventLog;
+    readonly metrics: GatewayMetrics;
 }
 
 /** Backoff after a failed connection, in which the server gets no requests; each further failure doubles it. */
@@ -59,6 +61,7 @@
             tracked.coldUntilMillis = Math.max(tracked.coldUntilMillis, nowMillis + service.coldStartMillis);
         }
         recordReportedLoad(parts.dialect, tracked, outcome.answer, nowMillis);
+        recordAnnouncedLeaving(parts, tracked, outcome.answer);
         recordReportedLimit(parts, tracked, outcome.answer, nowMillis - send.tookMillis, nowMillis);
         const isSuccess = outcome.answer.isSigned && !isFailure;
         // Response times from other regions include the network round trip, so they are left out of the estimates.
@@ -90,6 +93,28 @@
     }
 }
 
+/** Records that a server is leaving. An answer that the request was misdirected is that of another server. */
+function recordAnnouncedLeaving(
+    { dialect, metrics, log }: ServerStatisticsParts,
+    tracked: TrackedServer,
+    { headers, status }: ServerAnswer
+): void {
+    const text = headers[dialect.serverLeavingHeader];
+    if (tracked.hasAnnouncedLeaving || typeof text !== "string" || status === misdirectedRequestStatus) {
+        return;
+    }
+    if (!dialect.isServerLeaving(text)) {
+        return;
+    }
+    tracked.hasAnnouncedLeaving = true;
+    metrics.serversAnnouncedLeaving.inc({ service: tracked.server.service });
+    log.info(
+        "server",
+        { id: tracked.server.id, service: tracked.server.service, isLeavingByDescription: tracked.server.isLeaving },
+        "server announced in an answer that it is leaving; sending it no further requests"
+    );
+}
+
 /**
  * Records the rate limit that an answer states. An answer without a limit ends it only if the server ran the request,
  * and as of the time when the request was sent, since answers may arrive in another order.
--- a/packages/endivebridge-gateway/src/__tests__/unit/RunRequest.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/RunRequest.test.ts
@@ -33,6 +33,8 @@
     coldMillisHeader: "cold",
     serverLoadHeader: "load",
     serverLimitHeader: "limit",
+    serverLeavingHeader: "server-leaving",
+    isServerLeaving: () => false,
     parseServerLimit: () => undefined,
     parseServerLoad: () => undefined
 };
--- a/packages/endivebridge-traffic/src/Placement.ts
+++ b/packages/endivebridge-traffic/src/Placement.ts
@@ -1,7 +1,7 @@
 import type { Route, Service } from "./Configuration";
 import { hashText, mixHashes } from "./Hash";
 import type { RegionBalance } from "./RegionBalance";
-import type { BackendServer, ServerPool, TrackedServer } from "./ServerPool";
+import { type BackendServer, isLeaving, type ServerPool, type TrackedServer } from "./ServerPool";
 import type { RateLimit } from "./ServerRateLimit";
 import type { ServiceTimeEstimates } from "./ServiceTimeEstimates";
 
@@ -112,7 +112,7 @@
  */
 export function makePlacement(view: PlacementView): Placement {
     const acceptsRequests = (tracked: TrackedServer, nowMillis: number): boolean =>
-        !tracked.server.isLeaving
+        !isLeaving(tracked)
         && !view.isEvacuated(tracked.server.failureDomain)
         && tracked.avoidUntilMillis <= nowMillis;
 
--- a/packages/endivebridge-traffic/src/ServerPool.ts
+++ b/packages/endivebridge-traffic/src/ServerPool.ts
@@ -39,6 +39,13 @@
     failedConnections: number;
     /** Share of recent requests that the server failed or rejected. */
     failureShare: number;
+    /** Whether an answer of the server has said that it is leaving, which its description may not say yet. */
+    hasAnnouncedLeaving: boolean;
+}
+
+/** Whether a server gets no further requests, by its description or by its own answers. */
+export function isLeaving({ server, hasAnnouncedLeaving }: TrackedServer): boolean {
+    return server.isLeaving || hasAnnouncedLeaving;
 }
 
 /** The backend servers that this instance may use, by id and by service. */
@@ -56,12 +63,25 @@
 /** Window of the count of recent sends to a server, which is logged when its rate limit changes. */
 export const recentSendsMillis = 4_000;
 
+/** Limit on the removed servers of which it is kept that they are leaving. */
+const maxRemovedLeaving = 1_000;
+
 const emptyServerList: readonly TrackedServer[] = [];
 
 /** Creates a pool without servers. */
 export function makeServerPool(): ServerPool {
     const byId = new Map<string, TrackedServer>();
     const byService = new Map<string, TrackedServer[]>();
+    /** Start of each server that was removed after it had announced to leave; it may be listed again until it ends. */
+    const removedLeaving = new Map<string, number>();
+
+    const recordRemovedLeaving = ({ id, bornEpochMillis }: BackendServer) => {
+        removedLeaving.delete(id);
+        removedLeaving.set(id, bornEpochMillis);
+        if (removedLeaving.size > maxRemovedLeaving) {
+            removedLeaving.delete(removedLeaving.keys().next().value!);
+        }
+    };
 
     const removeFromService = (tracked: TrackedServer) => {
         const { service } = tracked.server;
@@ -92,7 +112,8 @@
         coldUntilMillis: nowMillis + server.coldRemainingMillis,
         avoidUntilMillis: 0,
         failedConnections: 0,
-        failureShare: 0
+        failureShare: 0,
+        hasAnnouncedLeaving: removedLeaving.get(server.id) === server.bornEpochMillis
     });
 
     const isSameIncarnation = (known: BackendServer, server: BackendServer): boolean =>
@@ -124,6 +145,9 @@
             if (known !== undefined) {
                 byId.delete(id);
                 removeFromService(known);
+                if (known.hasAnnouncedLeaving) {
+                    recordRemovedLeaving(known.server);
+                }
             }
             return known;
         }
--- a/packages/endivebridge-traffic/src/index.ts
+++ b/packages/endivebridge-traffic/src/index.ts
@@ -17,7 +17,7 @@
 export { makeRequestQueue, type RefusalReason, type RequestQueue, type Waiter } from "./RequestQueue";
 export { makeRetryBudget, type RetryBudget, type RetryBudgetLimits } from "./RetryBudget";
 export { makeRouteTable, type RouteTable } from "./RouteTable";
-export { type BackendServer, makeServerPool, type ServerPool, type TrackedServer } from "./ServerPool";
+export { type BackendServer, isLeaving, makeServerPool, type ServerPool, type TrackedServer } from "./ServerPool";
 export {
     makeServerRateLimit,
     type RateLimit,
