Gateway: a server that asks for a pause gets no requests meanwhile

The time was not read: with all four servers at 3 s, 56, 47 and 18 requests reached each in a window in which two are allowed.

The pause is kept for the process, in touch or not, and over its row. After it, one request at a time is sent until the server answers with another status. While all servers of a service have asked for a pause, requests are rejected at once as not run, with the time until the first resumes, spread by up to half of it. Times that are none are ignored, over-long ones bounded.

--- a/packages/endivebridge-gateway/src/Dialect.ts
+++ b/packages/endivebridge-gateway/src/Dialect.ts
@@ -19,6 +19,10 @@
     /** Header that an answer has once its backend server is leaving; callers do not get it. */
     readonly serverLeavingHeader: string;
     readonly isServerLeaving: (text: string) => boolean;
+    /** Header of a refusal with the time for which its backend server wants no requests of this instance. */
+    readonly pauseHeader: string;
+    /** Parses the time of a pause; undefined if it is none. */
+    readonly parsePauseMillis: (text: string) => number | undefined;
     readonly parseServerLimit: (text: string) => number | undefined;
     readonly parseServerLoad: (text: string) => ServerLoad | undefined;
 }
--- a/packages/endivebridge-gateway/src/FinalAnswers.ts
+++ b/packages/endivebridge-gateway/src/FinalAnswers.ts
@@ -16,6 +16,7 @@
     noServers: { status: 503, notRun: true, meaning: "no backend server of the service can be used" },
     overloaded: { status: 503, notRun: true, meaning: "no slot will be free in time" },
     rateLimited: { status: 503, notRun: true, meaning: "the rate limits of all backend servers are used up" },
+    paused: { status: 503, notRun: true, meaning: "all backend servers of the service have asked for a pause" },
     rejected: { status: 503, notRun: true, meaning: "backend servers rejected the request without running it" },
     unreachable: { status: 503, notRun: true, meaning: "no backend server could be reached" },
     quarantined: { status: 503, notRun: true, meaning: "backend servers crashed while running this request" },
--- a/packages/endivebridge-gateway/src/GatewayMetrics.ts
+++ b/packages/endivebridge-gateway/src/GatewayMetrics.ts
@@ -69,6 +69,12 @@
             labelNames: ["service"],
             registers
         }),
+        serverPauses: new Counter({
+            name: "endivebridge_server_pauses_total",
+            help: "Refusals of backend servers that ask for a pause, by whether its time is valid, bounded or invalid",
+            labelNames: ["service", "kind"],
+            registers
+        }),
         unreadAnswersCut: new Counter({
             name: "endivebridge_unread_answers_cut_total",
             help: "Answers cut because answers that callers did not read exceeded the memory limit",
--- a/packages/endivebridge-gateway/src/RunRequest.ts
+++ b/packages/endivebridge-gateway/src/RunRequest.ts
@@ -111,6 +111,13 @@
 /** Part of the deadline reserved for returning the response to the caller. */
 const responseMarginMillis = 5;
 
+/** Part of a pause by which callers return later than its end, each by another part, so that they return one by one. */
+const returnSpreadShare = 0.5;
+
+function spreadReturn(pauseMillis: number): number {
+    return pauseMillis * (1 + returnSpreadShare * Math.random());
+}
+
 type PlacementResult =
     | { readonly kind: "placed"; readonly placed: Placed; }
     | { readonly kind: "refused"; readonly answer: FinalAnswerKind; readonly retryAfterMillis: number | undefined; }
@@ -136,6 +143,7 @@
     const deadlineMillis = arrivedMillis + effectivePatienceMillis(request, route) - responseMarginMillis;
     const latestAnswerMillis = () => Math.min(deadlineMillis, parts.stopEndMillis());
     const keyHash = affinityHash(request, route);
+    const placementTarget = { route, service: service.name };
     const triedServers = new Set<string>();
     let isFinished = false;
     let isHopLost = false;
@@ -181,6 +189,8 @@
             let isFirstPlacementTry = isNew;
             let reason: RefusalReason | undefined;
             let isWithinRateLimits = true;
+            /** Time until the first server resumes, if all have asked for a pause. */
+            let pauseMillis = 0;
             const resolvePlacement = (placementResult: PlacementResult) => {
                 stopWaiting = undefined;
                 resolve(placementResult);
@@ -228,6 +238,8 @@
                     isWithinRateLimits = chosen !== "rate limited";
                     if (typeof chosen === "string") {
                         reason = chosen === "no servers" ? "no servers" : undefined;
+                        pauseMillis = chosen === "paused" ? parts.placement.pauseMillis(placementTarget, nowMillis) : 0;
+                        isWithinRateLimits &&= nowMillis + pauseMillis <= waiter.latestSendMillis;
                         return false;
                     }
                     parts.placement.reserve(chosen, nowMillis);
@@ -239,6 +251,8 @@
                     resolvePlacement(
                         isTooLateInStop(monotonicMillis())
                             ? { kind: "refused", answer: "leaving", retryAfterMillis: leavingRetryMillis }
+                            : pauseMillis > 0
+                            ? { kind: "refused", answer: "paused", retryAfterMillis: spreadReturn(pauseMillis) }
                             : { kind: "refused", answer: refusalAnswers[reason ?? queueReason], retryAfterMillis }
                     );
                 }
@@ -426,7 +440,8 @@
                 finishWithFinalAnswer("unreachable", unreachableRetryMillis);
             }
             else {
-                finishWithFinalAnswer("rejected", unreachableRetryMillis);
+                const pauseMillis = parts.placement.pauseMillis(placementTarget, monotonicMillis());
+                finishWithFinalAnswer("rejected", Math.max(unreachableRetryMillis, spreadReturn(pauseMillis)));
             }
             return;
         }
--- a/packages/endivebridge-gateway/src/UpdateServerStatistics.ts
+++ b/packages/endivebridge-gateway/src/UpdateServerStatistics.ts
@@ -36,6 +36,9 @@
 /** Backoff after a failed connection, in which the server gets no requests; each further failure doubles it. */
 const initialAvoidMillis = 200;
 const maxAvoidMillis = 2_000;
+const unavailableStatus = 503;
+/** Limit on the pause that one answer of a server can ask for. */
+const maxPauseMillis = 600_000;
 /** Weight of the newest outcome in the exponentially weighted failure share of a server. */
 const newestOutcomeWeight = 0.15;
 
@@ -62,6 +65,7 @@
         }
         recordReportedLoad(parts.dialect, tracked, outcome.answer, nowMillis);
         recordAnnouncedLeaving(parts, tracked, outcome.answer);
+        recordPause(parts, tracked, outcome.answer, nowMillis - send.tookMillis, nowMillis);
         recordReportedLimit(parts, tracked, outcome.answer, nowMillis - send.tookMillis, nowMillis);
         const isSuccess = outcome.answer.isSigned && !isFailure;
         // Response times from other regions include the network round trip, so they are left out of the estimates.
@@ -115,6 +119,49 @@
     );
 }
 
+/** Records that a server wants no requests for some time, or that it has resumed after a pause. */
+function recordPause(
+    { dialect, metrics, log }: ServerStatisticsParts,
+    tracked: TrackedServer,
+    { headers, status }: ServerAnswer,
+    sentMillis: number,
+    nowMillis: number
+): void {
+    const { id, service } = tracked.server;
+    if (status !== unavailableStatus) {
+        if (tracked.isResuming && sentMillis >= tracked.pausedUntilMillis) {
+            tracked.isResuming = false;
+            log.info("server pause", { server: id, service, isPaused: false }, "server resumed after a pause");
+        }
+        return;
+    }
+    const text = headers[dialect.pauseHeader];
+    if (text === undefined) {
+        return;
+    }
+    const statedMillis = typeof text === "string" ? dialect.parsePauseMillis(text) : undefined;
+    const kind = statedMillis === undefined ? "invalid" : statedMillis > maxPauseMillis ? "bounded" : "valid";
+    metrics.serverPauses.inc({ service, kind });
+    if (statedMillis === undefined) {
+        log.info(
+            "server pause",
+            { server: id, service, stated: text.slice(0, 40) },
+            "server states an invalid pause; ignored"
+        );
+        return;
+    }
+    const pauseMillis = Math.min(statedMillis, maxPauseMillis);
+    if (tracked.pausedUntilMillis <= nowMillis) {
+        log.info(
+            "server pause",
+            { server: id, service, isPaused: true, pauseMillis, statedMillis },
+            "server asked for a pause; sending it no requests meanwhile"
+        );
+    }
+    tracked.pausedUntilMillis = Math.max(tracked.pausedUntilMillis, nowMillis + pauseMillis);
+    tracked.isResuming = true;
+}
+
 /**
  * Records the rate limit that an answer states. An answer without a limit ends it only if the server ran the request,
  * and as of the time when the request was sent, since answers may arrive in another order.
--- a/packages/endivebridge-gateway/src/__tests__/unit/RunRequest.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/RunRequest.test.ts
@@ -35,6 +35,8 @@
     serverLimitHeader: "limit",
     serverLeavingHeader: "server-leaving",
     isServerLeaving: () => false,
+    pauseHeader: "retry-after",
+    parsePauseMillis: () => undefined,
     parseServerLimit: () => undefined,
     parseServerLoad: () => undefined
 };
@@ -86,7 +88,7 @@
     const connections = new ServerConnections(10, 1_000);
     return {
         dialect,
-        placement: { choose: () => placed, canHedge: () => true, reserve: () => undefined },
+        placement: { choose: () => placed, pauseMillis: () => 0, canHedge: () => true, reserve: () => undefined },
         requestQueue: makeRequestQueue(),
         offerFreeSlots: () => undefined,
         retryBudget: makeRetryBudget({ ratio: 0.2, slack: 10, windowMillis: 10_000 }),
--- a/packages/endivebridge-traffic/src/Placement.ts
+++ b/packages/endivebridge-traffic/src/Placement.ts
@@ -31,10 +31,10 @@
 }
 
 /**
- * Reason why no server was chosen: none is usable, none can accept the request now, or the rate limits of all of them
- * allow no send before the request's latest send time.
+ * Reason why no server was chosen: none is usable, none can accept the request now, the rate limits of all of them allow
+ * no send before the request's latest send time, or all of them have asked for a pause.
  */
-export type Unplaced = "no servers" | "all busy" | "rate limited";
+export type Unplaced = "no servers" | "all busy" | "rate limited" | "paused";
 
 /** Location of the instance and its current view of servers, regions and load. */
 export interface PlacementView {
@@ -64,6 +64,8 @@
     readonly choose: (request: PlacementRequest, nowMillis: number) => Placed | Unplaced;
     /** Whether a server that was chosen before can also receive a hedge of the request. */
     readonly canHedge: (placed: Placed, nowMillis: number) => boolean;
+    /** Time until the first server resumes, if all that the route may use have asked for a pause; otherwise 0. */
+    readonly pauseMillis: (target: Pick<PlacementRequest, "route" | "service">, nowMillis: number) => number;
     /** Takes a slot and the rate tokens of a server for one send; the slot is released by the caller. */
     readonly reserve: (placed: Placed, nowMillis: number) => void;
 }
@@ -114,15 +116,16 @@
     const acceptsRequests = (tracked: TrackedServer, nowMillis: number): boolean =>
         !isLeaving(tracked)
         && !view.isEvacuated(tracked.server.failureDomain)
-        && tracked.avoidUntilMillis <= nowMillis;
+        && tracked.avoidUntilMillis <= nowMillis
+        && tracked.pausedUntilMillis <= nowMillis;
 
     const isUsable = (tracked: TrackedServer, request: PlacementRequest, nowMillis: number): boolean =>
         acceptsRequests(tracked, nowMillis) && !request.triedServers.has(tracked.server.id);
 
     const hasFreeSlot = (tracked: TrackedServer, isRemote: boolean): boolean => {
         const slots = Math.max(1, tracked.server.slots - (isRemote ? remoteReservedSlots : 0));
-        // After failed connections, one request at a time probes whether the server has recovered.
-        const limit = tracked.failedConnections > 0 ? 1 : slots;
+        // After failed connections or a pause, one request at a time probes whether the server has recovered.
+        const limit = tracked.failedConnections > 0 || tracked.isResuming ? 1 : slots;
         return tracked.ownInFlight + tracked.peersInFlight < limit;
     };
 
@@ -314,7 +317,18 @@
         return best;
     };
 
+    const pauseMillis: Placement["pauseMillis"] = ({ route: { homeRegions }, service }, nowMillis) => {
+        const resumeMillis = view.pool.ofService(service)
+            .filter(tracked =>
+                !isLeaving(tracked) && !view.isEvacuated(tracked.server.failureDomain)
+                && (homeRegions.length === 0 || homeRegions.includes(tracked.server.region))
+            )
+            .map(tracked => tracked.pausedUntilMillis);
+        return resumeMillis.length === 0 ? 0 : Math.max(0, Math.min(...resumeMillis) - nowMillis);
+    };
+
     return {
+        pauseMillis,
         choose: (request, nowMillis) => {
             const { homeRegions } = request.route;
             const regions = layoutOf(request.service, nowMillis).filter(({ region, servers }) =>
@@ -322,7 +336,7 @@
                 && servers.some(tracked => isUsable(tracked, request, nowMillis))
             );
             if (regions.length === 0) {
-                return "no servers";
+                return pauseMillis(request, nowMillis) > 0 ? "paused" : "no servers";
             }
             if (request.isFirstAttempt) {
                 view.balance.countRequest();
--- a/packages/endivebridge-traffic/src/ServerPool.ts
+++ b/packages/endivebridge-traffic/src/ServerPool.ts
@@ -41,6 +41,10 @@
     failureShare: number;
     /** Whether an answer of the server has said that it is leaving, which its description may not say yet. */
     hasAnnouncedLeaving: boolean;
+    /** Time until which the server has asked this instance for no requests. */
+    pausedUntilMillis: number;
+    /** Whether the server has answered no request since its last pause. */
+    isResuming: boolean;
 }
 
 /** Whether a server gets no further requests, by its description or by its own answers. */
@@ -63,8 +67,10 @@
 /** Window of the count of recent sends to a server, which is logged when its rate limit changes. */
 export const recentSendsMillis = 4_000;
 
-/** Limit on the removed servers of which it is kept that they are leaving. */
-const maxRemovedLeaving = 1_000;
+/** Limit on the removed servers whose announcements are kept. */
+const maxRemovedAnnouncements = 1_000;
+
+type Announcements = Pick<TrackedServer, "hasAnnouncedLeaving" | "pausedUntilMillis" | "isResuming">;
 
 const emptyServerList: readonly TrackedServer[] = [];
 
@@ -72,17 +78,28 @@
 export function makeServerPool(): ServerPool {
     const byId = new Map<string, TrackedServer>();
     const byService = new Map<string, TrackedServer[]>();
-    /** Start of each server that was removed after it had announced to leave; it may be listed again until it ends. */
-    const removedLeaving = new Map<string, number>();
-
-    const recordRemovedLeaving = ({ id, bornEpochMillis }: BackendServer) => {
-        removedLeaving.delete(id);
-        removedLeaving.set(id, bornEpochMillis);
-        if (removedLeaving.size > maxRemovedLeaving) {
-            removedLeaving.delete(removedLeaving.keys().next().value!);
+    /** What removed servers have announced, and when they started; they may be listed again until they end. */
+    const removedAnnouncements = new Map<string, Announcements & { readonly bornEpochMillis: number; }>();
+
+    const keepAnnouncements = ({ server, hasAnnouncedLeaving, pausedUntilMillis, isResuming }: TrackedServer) => {
+        if (!hasAnnouncedLeaving && !isResuming) {
+            return;
+        }
+        const { id, bornEpochMillis } = server;
+        removedAnnouncements.delete(id);
+        removedAnnouncements.set(id, { bornEpochMillis, hasAnnouncedLeaving, pausedUntilMillis, isResuming });
+        if (removedAnnouncements.size > maxRemovedAnnouncements) {
+            removedAnnouncements.delete(removedAnnouncements.keys().next().value!);
         }
     };
 
+    const announcementsOf = ({ id, bornEpochMillis }: BackendServer): Announcements => {
+        const kept = removedAnnouncements.get(id);
+        return kept?.bornEpochMillis === bornEpochMillis
+            ? kept
+            : { hasAnnouncedLeaving: false, pausedUntilMillis: 0, isResuming: false };
+    };
+
     const removeFromService = (tracked: TrackedServer) => {
         const { service } = tracked.server;
         const remaining = (byService.get(service) ?? []).filter(other => other !== tracked);
@@ -100,6 +117,7 @@
     };
 
     const makeTrackedServer = (server: BackendServer, nowMillis: number): TrackedServer => ({
+        ...announcementsOf(server),
         server,
         hash: hashText(server.id),
         coldRateLimiter: makeSingleTokenBucket(nowMillis),
@@ -112,8 +130,7 @@
         coldUntilMillis: nowMillis + server.coldRemainingMillis,
         avoidUntilMillis: 0,
         failedConnections: 0,
-        failureShare: 0,
-        hasAnnouncedLeaving: removedLeaving.get(server.id) === server.bornEpochMillis
+        failureShare: 0
     });
 
     const isSameIncarnation = (known: BackendServer, server: BackendServer): boolean =>
@@ -145,9 +162,7 @@
             if (known !== undefined) {
                 byId.delete(id);
                 removeFromService(known);
-                if (known.hasAnnouncedLeaving) {
-                    recordRemovedLeaving(known.server);
-                }
+                keepAnnouncements(known);
             }
             return known;
         }
