--- a/packages/endivebridge-bench/src/InstanceProcesses.ts
+++ b/packages/endivebridge-bench/src/InstanceProcesses.ts
@@ -35,9 +35,17 @@
     readonly close: () => Promise<void>;
 }
 
+/** Overrides of the settings of every instance, and the arguments of its Node.js. */
+export interface InstanceOptions {
+    readonly timing?: Readonly<Record<string, number>>;
+    readonly limits?: Readonly<Record<string, number>>;
+    readonly nodeArguments?: readonly string[];
+}
+
 /** Bearer key that authorizes operators in every testbed. */
 export const operatorKey = "operator-key-of-the-bench";
-const peerKey = "peer-key-of-the-bench-world";
+/** Key with which the instances of every testbed authenticate to each other. */
+export const peerKey = "peer-key-of-the-bench-world";
 const readyTimeoutMillis = 20_000;
 
 /** Assigns names and ports to the instances of a deployment without starting them. */
@@ -62,7 +70,7 @@
     instance: InstanceProcess,
     instances: readonly InstanceProcess[],
     links: TestbedLinks,
-    timing: Readonly<Record<string, number>>
+    { timing = {}, limits = {} }: InstanceOptions
 ) {
     const listener = (address: string) => ({ host: "127.0.0.1", port: Number(address.split(":")[1]) });
     return {
@@ -81,7 +89,8 @@
             peerAddress: links.views[instance.domain]?.[each.peerAddress] ?? each.peerAddress
         })),
         recordDecisions: process.env.ENDIVEBENCH_RECORD !== undefined,
-        timing
+        timing,
+        limits
     };
 }
 
@@ -118,7 +127,7 @@
 export function makeInstanceControl(
     instances: readonly InstanceProcess[],
     links: TestbedLinks,
-    timing: Readonly<Record<string, number>>
+    options: InstanceOptions
 ): InstanceControl {
     const scratchFolder = mkdtempSync(join(tmpdir(), "endivebridge-"));
     // Kills the instances on every exit of this process, so that none is left running.
@@ -127,9 +136,9 @@
 
     const launch = (instance: InstanceProcess) => {
         const settingsPath = join(scratchFolder, `${instance.instance}.jsonc`);
-        writeFileSync(settingsPath, JSON.stringify(makeInstanceSettings(instance, instances, links, timing)));
+        writeFileSync(settingsPath, JSON.stringify(makeInstanceSettings(instance, instances, links, options)));
         const log = openSync(logPath(instance), "a");
-        const nodeArguments = process.env.ENDIVEBENCH_NODE_ARGUMENTS?.split(" ") ?? [];
+        const nodeArguments = options.nodeArguments ?? process.env.ENDIVEBENCH_NODE_ARGUMENTS?.split(" ") ?? [];
         instance.process = spawn(process.execPath, [...nodeArguments, programPath("endivebridged"), settingsPath], {
             stdio: ["ignore", log, log]
         });
--- a/packages/endivebridge-bench/src/Testbed.ts
+++ b/packages/endivebridge-bench/src/Testbed.ts
@@ -19,6 +19,10 @@
     readonly configure?: (configuration: MutableConfiguration) => void;
     /** Overrides of the timing settings of every instance. */
     readonly timing?: Readonly<Record<string, number>>;
+    /** Overrides of the limits in the settings of every instance. */
+    readonly limits?: Readonly<Record<string, number>>;
+    /** Arguments of Node.js for every instance. */
+    readonly nodeArguments?: readonly string[];
     /** Whether connections to each backend server pass through a separate link. */
     readonly hasBackendLinks?: boolean;
     /** Whether connections between instances of the same failure domain also pass through links. */
@@ -124,7 +128,7 @@
         hasBackendLinks: options.hasBackendLinks === true,
         hasSiblingLinks: options.hasSiblingLinks === true
     });
-    const control = makeInstanceControl(instances, links, options.timing ?? {});
+    const control = makeInstanceControl(instances, links, options);
     const leavingServers = new Set<string>();
     const parts: ListedParts = { instances, backends, backendLinks: links.backendLinks, leavingServers };
     const publishInstanceList = () => platform.setInstances(makeInstanceList(parts));
--- a/packages/endivebridge-standins/src/index.ts
+++ b/packages/endivebridge-standins/src/index.ts
@@ -9,6 +9,7 @@
     startBackendStandIn,
     tokenHeader
 } from "./BackendStandIn";
+export { type ClientCrowd, type ClientCrowdOptions, type CrowdConnection, openClientCrowd } from "./ClientCrowd";
 export {
     endlessBodies,
     endlessBytesAfter,
@@ -29,3 +30,4 @@
     type PlatformStandIn,
     startPlatformStandIn
 } from "./PlatformStandIn";
+export { type ProcessUse, type ProcessWatch, watchProcess } from "./WatchProcess";
