Gateway: one bound on the memory that callers and peers hold

Seen: 300 connections that upload 0.9 MB each and stop short of the end take 160 and 162 MB of a process with 140; 240 of 300 were refused only at a constant of 64 MB, whatever the memory of the machine.

Cause: bodies, unread answers and answers that wait for an earlier one had a limit each, or none, and their sum was not bounded; requests in service counted nowhere.

Change: HeldMemory bounds the sum of all claims to a fifth of the process's memory. A request claims 16 KB, its head and its body; an answer claims its size from when it is ready until it is written. Beyond the bound the largest claim is given up that can be: an incomplete upload is refused as not run (503, outcome memoryFull), an answer that is not read is cut. Requests whose body is complete are kept: they end within their deadline.

Why it holds: claims grow before others are shed, and each shed claim frees its bytes at once, so that the sum stays at the bound unless all of it is kept.

HeldMemory.test.ts tests new code.

--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -1,4 +1,12 @@
-import { isRequestTarget, makeByteCollector, monotonicMillis } from "@endivebridge/shared";
+import {
+    claimRequestMemory,
+    type HeldMemory,
+    isRequestTarget,
+    makeByteCollector,
+    monotonicMillis,
+    type RequestMemory,
+    type Teardown
+} from "@endivebridge/shared";
 import type { AttemptAgeEstimator, RouteTable, TrafficConfiguration, TrafficSplit } from "@endivebridge/traffic";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
@@ -35,6 +43,8 @@
     readonly whenStateComplete: () => Promise<void> | undefined;
     readonly trafficSplit: TrafficSplit;
     readonly attemptAgeEstimator: AttemptAgeEstimator;
+    /** Memory for what callers and peers have sent and not read. */
+    readonly memory: HeldMemory;
     readonly unreadAnswers: UnreadAnswers;
     readonly run: (routed: RoutedRequest) => RunningRequest;
     /** Decodes what a peer says of a request that it forwards; undefined for requests of callers. */
@@ -69,6 +79,8 @@
 }
 
 interface RequestProgress {
+    readonly memory: RequestMemory;
+    releaseAnswer: Teardown;
     arrivedMillis: number | undefined;
     running: RunningRequest | undefined;
     isAnswering: boolean;
@@ -84,8 +96,8 @@
     return arrivedMillis === undefined ? "reading" : "held";
 }
 
-/** Limit on request bodies buffered by all requests together; requests beyond it are refused. */
-const maxBufferedBodyBytes = 67_108_864;
+/** Body limit of an instance that has no configuration yet. */
+const initialBodyBytes = 1_048_576;
 /** Idle connections stay open longer than declared, so that none closes while a timely request is under way to it. */
 const idleTimeoutMarginMillis = 1_000;
 const initialIdleTimeoutMillis = 60_000;
@@ -112,7 +124,6 @@
 /** Creates the server for callers without listening. */
 export function makeCallerServer(parts: CallerServerParts): CallerServer {
     const openRequests = new Map<IncomingMessage, RequestProgress>();
-    let bufferedBytes = 0;
     const connections = new WeakMap<Duplex, CallerConnection>();
 
     const connectionOf = (socket: Socket): CallerConnection => {
@@ -132,30 +143,38 @@
 
     const readBody = (
         message: IncomingMessage,
+        memory: RequestMemory,
         maxBodyBytes: number
     ): Promise<Buffer | "too large" | "disconnected" | "full"> => {
+        if (memory.isRefused()) {
+            message.resume();
+            return Promise.resolve("full");
+        }
         if (message.headers["content-length"] === undefined && message.headers["transfer-encoding"] === undefined) {
             message.resume();
             return Promise.resolve(Buffer.alloc(0));
         }
         return new Promise(resolve => {
             const chunks = makeByteCollector();
-            let length = 0;
+            const refuse = (reason: "too large" | "full") => {
+                message.removeAllListeners("data");
+                message.resume();
+                chunks.take();
+                memory.release();
+                resolve(reason);
+            };
+            memory.setRefusalListener(() => refuse("full"));
             message.on("data", (chunk: Buffer) => {
-                length += chunk.length;
-                bufferedBytes += chunk.length;
-                if (length > maxBodyBytes || bufferedBytes > maxBufferedBodyBytes) {
-                    message.removeAllListeners("data");
-                    message.resume();
-                    resolve(length > maxBodyBytes ? "too large" : "full");
+                if (chunks.length() + chunk.length > maxBodyBytes) {
+                    refuse("too large");
                     return;
                 }
                 chunks.append(chunk);
+                memory.setBodyBytes(chunks.length());
             });
             message.on("end", () => resolve(chunks.take()));
             message.on("close", () => resolve("disconnected"));
             message.on("error", () => resolve("disconnected"));
-            message.once("close", () => bufferedBytes -= length);
         });
     };
 
@@ -195,11 +214,6 @@
         method: string,
         answer: ServerAnswer
     ) => {
-        const countUnread = (bytes: number) =>
-            parts.unreadAnswers.add(response, bytes, () => {
-                connection.recordClosing("unreadAnswer");
-                response.destroy();
-            });
         const headers = endToEndHeaders(answer.rawHeaders, answer.headers.connection)
             .filter(([name]) => name.toLowerCase() !== parts.dialect.serverLeavingHeader);
         const flat = headers.flatMap(([name, value]) => [name, value]);
@@ -215,7 +229,6 @@
             );
             response.write(answer.body);
             const { unreadBody } = answer;
-            countUnread(answer.body.length + streamBufferBytes);
             unreadBody.once("close", () => {
                 if (!unreadBody.isComplete && connection.closedBy() === undefined) {
                     connection.recordClosing("truncatedAnswer");
@@ -225,7 +238,6 @@
             pipeline(unreadBody, response, () => undefined);
             return;
         }
-        countUnread(answer.body.length);
         const hasBody = answer.status !== 204 && answer.status !== 304;
         if (!answer.hasDeclaredLength && hasBody && method !== "HEAD") {
             if (connectionRequest.hasInServiceBehind()) {
@@ -329,12 +341,13 @@
         progress: RequestProgress
     ): Promise<void> => {
         const limits = parts.configuration()?.configuration.callerLimits;
-        const body = await readBody(message, limits?.bodyBytes ?? maxBufferedBodyBytes);
+        const body = await readBody(message, progress.memory, limits?.bodyBytes ?? initialBodyBytes);
         const arrivedMillis = monotonicMillis();
         progress.arrivedMillis = arrivedMillis;
         if (body === "disconnected") {
             return;
         }
+        progress.memory.keep();
         const stateComplete = parts.whenStateComplete();
         if (stateComplete !== undefined) {
             await stateComplete;
@@ -349,7 +362,8 @@
         const routed = body === "too large"
             ? "bodyTooLarge"
             : body === "full"
-            ? "overloaded"
+            // Peers of earlier versions do not know the other kind.
+            ? isForwarded ? "overloaded" : "memoryFull"
             : route(request, forwarded, arrivedMillis);
         if (typeof routed === "string") {
             progress.isAnswering = true;
@@ -382,6 +396,17 @@
         connectionRequest.setCloseListener(running.abandon);
         const firstResult = await running.result;
         progress.isAnswering = true;
+        if (firstResult.kind === "answered") {
+            const { body: answerBody, unreadBody } = firstResult.answer;
+            progress.releaseAnswer = parts.unreadAnswers.add(
+                response,
+                answerBody.length + (unreadBody === undefined ? 0 : streamBufferBytes),
+                () => {
+                    connection.recordClosing("unreadAnswer");
+                    message.socket.destroy();
+                }
+            );
+        }
         const isWritable = await connectionRequest.whenNextToAnswer();
         const result = withoutLostBody(firstResult);
         if (isWritable && result.kind === "answered") {
@@ -401,14 +426,24 @@
     };
 
     const handleRequest: CallerServer["handleRequest"] = (message, response) => {
-        const progress: RequestProgress = { arrivedMillis: undefined, running: undefined, isAnswering: false };
+        const progress: RequestProgress = {
+            memory: claimRequestMemory(parts.memory, message),
+            releaseAnswer: () => undefined,
+            arrivedMillis: undefined,
+            running: undefined,
+            isAnswering: false
+        };
         openRequests.set(message, progress);
         response.sendDate = false;
         // The Keep-Alive header of the answer declares the timeout of now, which may be lowered until then.
         const declaredIdleTimeoutMillis = server.keepAliveTimeout;
         response.once("finish", () => extendIdleTimeout(message.socket, declaredIdleTimeoutMillis));
         const connection = connectionOf(message.socket);
-        const connectionRequest = connection.addRequest(response, () => openRequests.delete(message));
+        const connectionRequest = connection.addRequest(response, () => {
+            openRequests.delete(message);
+            progress.memory.release();
+            progress.releaseAnswer();
+        });
         handle(connection, connectionRequest, message, response, progress).catch((error: unknown) => {
             parts.log.error("fault", { error: String(error) }, "unexpected error while responding to a caller");
             connection.recordClosing("fault");
--- a/packages/endivebridge-gateway/src/FinalAnswers.ts
+++ b/packages/endivebridge-gateway/src/FinalAnswers.ts
@@ -15,6 +15,7 @@
     leaving: { status: 503, notRun: true, meaning: "the instance is shutting down" },
     noServers: { status: 503, notRun: true, meaning: "no backend server of the service can be used" },
     overloaded: { status: 503, notRun: true, meaning: "no slot will be free in time" },
+    memoryFull: { status: 503, notRun: true, meaning: "callers hold as much memory as the instance may use for them" },
     rateLimited: { status: 503, notRun: true, meaning: "the rate limits of all backend servers are used up" },
     paused: { status: 503, notRun: true, meaning: "all backend servers of the service have asked for a pause" },
     rejected: { status: 503, notRun: true, meaning: "backend servers rejected the request without running it" },
--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -1,5 +1,11 @@
 import { makeCrashRecords, makeServiceReachability } from "@endivebridge/core";
-import { isRefusingConnections, monotonicMillis, registerConnectionProbes, type Teardown } from "@endivebridge/shared";
+import {
+    isRefusingConnections,
+    makeHeldMemory,
+    monotonicMillis,
+    registerConnectionProbes,
+    type Teardown
+} from "@endivebridge/shared";
 import {
     type BackendServer,
     initialEstimateMillis,
@@ -113,6 +119,8 @@
 /** The gateway stops this long before the forced end of the process, even with requests still open. */
 const endMarginMillis = 800;
 const reportIntervalMillis = 5_000;
+/** Share of the process's memory for what callers have sent and not read; garbage takes about as much again. */
+const clientMemoryShare = 0.2;
 
 /** Wires the components of a gateway and starts its servers and timers. */
 export function startGateway(
@@ -271,13 +279,15 @@
 
     const isReady = () => beliefs.isStateComplete() && stoppingSinceMillis === undefined;
 
+    const heldMemory = makeHeldMemory(settings.memoryBytes * clientMemoryShare);
     const callerServerParts: CallerServerParts = {
         dialect,
         configuration: beliefs.inForce,
         whenStateComplete: startupWait.whenStateComplete,
         trafficSplit,
         attemptAgeEstimator: makeAttemptAgeEstimator(),
-        unreadAnswers: makeUnreadAnswers(settings.memoryBytes, log, metrics),
+        memory: heldMemory,
+        unreadAnswers: makeUnreadAnswers(heldMemory, log, metrics),
         run: routed =>
             runRequest({
                 dialect,
