Gateway: requests and chunks are parsed in pieces, and those of many connections in turn

Seen: 30 connections that send requests ahead and read no answer end the process within 2 s; so do requests without headers, without a route, for the metrics, and writes in chunks. Beside 300 connections that send chunks of one byte, requests of HTTP/1.0 or requests for the readiness check, no ordinary request is answered in five attempts of 6 s.

Cause: Node.js parses each read of up to 64 KB at once. Each of up to 3,600 requests in it is held with its message, response, promise and closures until its turn to be answered comes; that at most 32 are served at a time does not stop the parser. Each of 10,000 chunks in it is an event. Every connection gets its 64 KB before the event loop polls again.

Change: ConnectionReader takes the place of the socket's push: it passes bytes on in pieces that end at a blank line or after 4 KB, and none while 32 requests have no answer, or one while memory is short. Connections that have sent more than 8 KB since their last answer share 4 ms of each iteration of the event loop, a piece each in turn; others are parsed as they arrive. Bytes that wait belong to the common bound on memory.

--- a/packages/endivebridge-gateway/src/CallerConnection.ts
+++ b/packages/endivebridge-gateway/src/CallerConnection.ts
@@ -28,11 +28,6 @@
 
 /** A request of a connection until its answer is written. */
 export interface ConnectionRequest {
-    /**
-     * Resolves once few requests ahead are unanswered, or with false if the connection has closed; undefined if that is
-     * so already. Bounds the answers that a connection holds for a slow one ahead.
-     */
-    readonly whenFewAhead: () => Promise<boolean> | undefined;
     /** Records that the request is being served, so that answers ahead of it keep the connection open. */
     readonly setInService: () => void;
     /** Resolves once the answers ahead are written, or with false if the connection has closed or is closing. */
@@ -45,17 +40,12 @@
     readonly setCloseListener: (listener: () => void) => void;
 }
 
-/** Pipelined requests of one connection that are served at a time. */
-const maxServedRequests = 32;
-
 interface UnansweredRequest {
-    readonly number: number;
     readonly response: ServerResponse;
     readonly onEnd: () => void;
     isInService: boolean;
     onClose: () => void;
     onNextToAnswer: (isWritable: boolean) => void;
-    onFewAhead: (isOpen: boolean) => void;
 }
 
 /** Tracks a connection; `onUnanswered` is called for each request in service when it closes. */
@@ -66,19 +56,8 @@
     const unanswered = new Set<UnansweredRequest>();
     let isClosing = false;
     let closer: ConnectionCloser = "caller";
-    let requestCount = 0;
-    let answeredCount = 0;
     let inServiceCount = 0;
-    let waitingForFewAhead: UnansweredRequest[] = [];
     let onReadRequestsAnswered: (() => void) | undefined;
-    const hasFewAhead = ({ number }: UnansweredRequest) => number - answeredCount <= maxServedRequests;
-    const notifyIfFewAhead = () => {
-        const ready = waitingForFewAhead.filter(hasFewAhead);
-        if (ready.length > 0) {
-            waitingForFewAhead = waitingForFewAhead.slice(ready.length);
-            ready.forEach(request => request.onFewAhead(true));
-        }
-    };
     const notifyIfReadRequestsAnswered = () => {
         if (onReadRequestsAnswered !== undefined && ![...unanswered].some(({ response }) => response.req.complete)) {
             onReadRequestsAnswered();
@@ -99,42 +78,29 @@
             }
             request.onClose();
             request.onNextToAnswer(false);
-            request.onFewAhead(false);
             request.onEnd();
         }
     });
     return {
         addRequest: (response, onEnd) => {
-            requestCount += 1;
             const request: UnansweredRequest = {
-                number: requestCount,
                 response,
                 onEnd,
                 isInService: false,
                 onClose: () => undefined,
-                onNextToAnswer: () => undefined,
-                onFewAhead: () => undefined
+                onNextToAnswer: () => undefined
             };
             unanswered.add(request);
             response.once("finish", () => {
                 if (unanswered.delete(request)) {
-                    answeredCount += 1;
                     inServiceCount -= request.isInService ? 1 : 0;
                     onEnd();
                     const [next] = unanswered;
                     next?.onNextToAnswer(!isClosing);
-                    notifyIfFewAhead();
                     notifyIfReadRequestsAnswered();
                 }
             });
             return {
-                whenFewAhead: () =>
-                    hasFewAhead(request)
-                        ? undefined
-                        : new Promise(resolve => {
-                            request.onFewAhead = resolve;
-                            waitingForFewAhead.push(request);
-                        }),
                 setInService: () => {
                     request.isInService = true;
                     inServiceCount += 1;
--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -1,6 +1,6 @@
 import {
     claimRequestMemory,
-    type HeldMemory,
+    type ClientLimits,
     isRequestTarget,
     makeByteCollector,
     monotonicMillis,
@@ -43,8 +43,7 @@
     readonly whenStateComplete: () => Promise<void> | undefined;
     readonly trafficSplit: TrafficSplit;
     readonly attemptAgeEstimator: AttemptAgeEstimator;
-    /** Memory for what callers and peers have sent and not read. */
-    readonly memory: HeldMemory;
+    readonly limits: ClientLimits;
     readonly unreadAnswers: UnreadAnswers;
     readonly run: (routed: RoutedRequest) => RunningRequest;
     /** Decodes what a peer says of a request that it forwards; undefined for requests of callers. */
@@ -109,16 +108,8 @@
  */
 const earlyRefusalRetryMillis = 300;
 
-/** Time for which bytes that arrive after the last answer are read and discarded. */
-const lingerMillis = 1_000;
-
-/**
- * Ends the sending side of a connection and closes it once the caller has done so too, or after a time limit. Closing at
- * once would reset the connection if unread bytes are left or arrive, which destroys answers that are still on their way.
- */
-function closeWithLinger(socket: Duplex, lastBytes?: string): void {
-    socket.end(lastBytes);
-    setTimeout(() => socket.destroy(), lingerMillis).unref();
+function hasRequiredHost({ headers, httpVersion }: IncomingMessage): boolean {
+    return headers.host !== undefined || httpVersion !== "1.1";
 }
 
 /** Creates the server for callers without listening. */
@@ -136,8 +127,6 @@
             closedBy => parts.metrics.unansweredRequests.inc({ closedBy })
         );
         connections.set(socket, connection);
-        // Node calls this after an answer that closes the connection.
-        socket.destroySoon = () => closeWithLinger(socket);
         return connection;
     };
 
@@ -262,10 +251,11 @@
 
     const route = (
         request: CallerRequest,
+        isHostValid: boolean,
         forwarded: ForwardedRequest | undefined,
         arrivedMillis: number
     ): RoutedRequest | FinalAnswerKind => {
-        if (!isRequestTarget(request.target)) {
+        if (!isRequestTarget(request.target) || !isHostValid) {
             return "badRequest";
         }
         const inForce = parts.configuration();
@@ -364,7 +354,7 @@
             : body === "full"
             // Peers of earlier versions do not know the other kind.
             ? isForwarded ? "overloaded" : "memoryFull"
-            : route(request, forwarded, arrivedMillis);
+            : route(request, hasRequiredHost(message), forwarded, arrivedMillis);
         if (typeof routed === "string") {
             progress.isAnswering = true;
             const retryAfterMillis = routed === "leaving"
@@ -378,10 +368,6 @@
             }
             return;
         }
-        const fewAhead = connectionRequest.whenFewAhead();
-        if (fewAhead !== undefined && (!await fewAhead || connection.isClosing())) {
-            return;
-        }
         await whenPendingEventsRead();
         if (connection.isClosing()) {
             return;
@@ -427,7 +413,7 @@
 
     const handleRequest: CallerServer["handleRequest"] = (message, response) => {
         const progress: RequestProgress = {
-            memory: claimRequestMemory(parts.memory, message),
+            memory: claimRequestMemory(parts.limits.memory, message),
             releaseAnswer: () => undefined,
             arrivedMillis: undefined,
             running: undefined,
@@ -450,7 +436,13 @@
             response.destroy();
         });
     };
-    const server = createServer({ keepAliveTimeout: initialIdleTimeoutMillis, noDelay: true }, handleRequest);
+    const server = createServer({
+        keepAliveTimeout: initialIdleTimeoutMillis,
+        // Refusals of the server itself would not count as unanswered requests.
+        requireHostHeader: false,
+        noDelay: true
+    }, handleRequest);
+    parts.limits.register(server);
     const openConnections = new Set<Socket>();
     server.on("connection", socket => {
         openConnections.add(socket);
@@ -458,6 +450,7 @@
     });
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
         const connection = connections.get(socket);
+        parts.limits.discardInput(socket as Socket);
         const close = () => {
             if (connection?.isClosing() === true || (socket.writableEnded && !socket.destroyed)) {
                 // Bytes that arrive while the connection lingers.
@@ -469,9 +462,9 @@
                 connection?.recordClosing("protocolError");
             }
             if (socket.writable && !isCallerGone && connection?.isWritingAnswer() !== true) {
-                closeWithLinger(
-                    socket,
-                    "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+                parts.limits.closeWithLinger(
+                    socket as Socket,
+                    `HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`
                 );
             }
             else {
--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -1,6 +1,8 @@
 import { makeCrashRecords, makeServiceReachability } from "@endivebridge/core";
 import {
+    type ClientLimits,
     isRefusingConnections,
+    makeClientLimits,
     makeHeldMemory,
     monotonicMillis,
     registerConnectionProbes,
@@ -92,6 +94,8 @@
     readonly addListedMembers: (records: readonly MemberRecord[]) => void;
     readonly isReady: () => boolean;
     readonly directory: Directory;
+    /** Limits for the connections of all servers that clients reach. */
+    readonly clientLimits: ClientLimits;
     /** Shuts down gracefully: resolves when requests in flight are finished or the stop time is nearly over. */
     readonly stop: () => Promise<void>;
 }
@@ -280,13 +284,24 @@
     const isReady = () => beliefs.isStateComplete() && stoppingSinceMillis === undefined;
 
     const heldMemory = makeHeldMemory(settings.memoryBytes * clientMemoryShare);
+    const clientLimits = makeClientLimits({
+        memory: heldMemory,
+        onClose: (openConnections, claimedBytes) => {
+            metrics.limitedConnections.inc({ limit: "memory" });
+            log.warn(
+                "client limit",
+                { limit: "memory", openConnections, claimedBytes },
+                "clients hold more than the limit; closing a connection"
+            );
+        }
+    });
     const callerServerParts: CallerServerParts = {
         dialect,
         configuration: beliefs.inForce,
         whenStateComplete: startupWait.whenStateComplete,
         trafficSplit,
         attemptAgeEstimator: makeAttemptAgeEstimator(),
-        memory: heldMemory,
+        limits: clientLimits,
         unreadAnswers: makeUnreadAnswers(heldMemory, log, metrics),
         run: routed =>
             runRequest({
@@ -450,6 +465,7 @@
                 forwardedServer.handleRequest(message, response);
             }
         },
+        limits: clientLimits,
         log
     });
     const stopSnapshotRequests = startSnapshotRequests({
@@ -497,6 +513,7 @@
         },
         isReady,
         directory: makeDirectory(own, isReady, members),
+        clientLimits,
         stop: () => {
             const sinceMillis = monotonicMillis();
             stoppingSinceMillis = sinceMillis;
--- a/packages/endivebridge-gateway/src/GatewayMetrics.ts
+++ b/packages/endivebridge-gateway/src/GatewayMetrics.ts
@@ -80,6 +80,12 @@
             help: "Answers cut because answers that callers did not read exceeded the memory limit",
             registers
         }),
+        limitedConnections: new Counter({
+            name: "endivebridge_limited_connections_total",
+            help: "Connections closed because clients held more than a limit, by limit",
+            labelNames: ["limit"],
+            registers
+        }),
         cutRequests: new Counter({
             name: "endivebridge_cut_requests_total",
             help: "Requests still open when the instance ended its shutdown, by stage",
--- a/packages/endivebridge-gateway/src/SnapshotTransfer.ts
+++ b/packages/endivebridge-gateway/src/SnapshotTransfer.ts
@@ -1,4 +1,4 @@
-import { decodeUntrustedJson, startTransferTimer, type Teardown } from "@endivebridge/shared";
+import { type ClientLimits, decodeUntrustedJson, startTransferTimer, type Teardown } from "@endivebridge/shared";
 import { createServer, get, type IncomingMessage, type RequestListener } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
 import type { EventLog } from "./EventLog";
@@ -30,6 +30,7 @@
     /** Whether a message is a request that an instance forwards, and not one for the snapshot. */
     readonly isForwarded: (message: IncomingMessage) => boolean;
     readonly onForwarded: RequestListener;
+    readonly limits: ClientLimits;
     readonly log: EventLog;
 }
 
@@ -41,11 +42,12 @@
 
 /** Serves snapshots of this instance's state to starting instances, and the requests that peers forward. */
 export function startPeerServer(
-    { host, port, makeSnapshot, isForwarded, onForwarded, log }: PeerServerParts
+    { host, port, makeSnapshot, isForwarded, onForwarded, limits, log }: PeerServerParts
 ): Teardown {
     const server = createServer({
         keepAliveTimeout: idleTimeoutMillis,
         maxHeaderSize: maxHeaderBytes,
+        requireHostHeader: false,
         noDelay: true
     }, (request, response) => {
         if (isForwarded(request)) {
@@ -61,6 +63,7 @@
         response.writeHead(200, { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(body) });
         response.end(body);
     });
+    limits.register(server);
     server.on("error", error => log.warn("beliefs", { error: error.message }, "server for peers failed"));
     server.listen(port, host);
     return () => {
--- a/packages/endivebridge-gateway/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/CallerServer.test.ts
@@ -1,6 +1,6 @@
 // Guards against idle connections that close sooner than callers were told, while a request on them may be under way.
 
-import { makeHeldMemory } from "@endivebridge/shared";
+import { makeClientLimits, makeHeldMemory } from "@endivebridge/shared";
 import test from "ava";
 import { once } from "node:events";
 import { type AddressInfo, connect, type Socket } from "node:net";
@@ -27,7 +27,10 @@
         configuration: () => undefined,
         whenStateComplete: () => sleep(answerDelayMillis),
         readForwarded: () => undefined,
-        memory: makeHeldMemory(1_000_000),
+        limits: makeClientLimits({
+            memory: makeHeldMemory(1_000_000),
+            onClose: () => undefined
+        }),
         isLeaving: () => false,
         stopEndMillis: () => Infinity,
         log: makeEventLog("test", "own", { write: () => undefined, takeDroppedCount: () => 0 }),
