Gateway: the connections of callers and of peers have limits that leave descriptors for servers

Seen: 600 connections that send nothing, half a head, a byte now and then or an announced body that they wait to be asked for, take 631 descriptors of a process with 400; so do silent connections to the directory, readiness and metrics. At its own limit such a process reaches neither servers nor peers nor the store, and accepts nobody.

Cause: no limit on connections.

Change: of the descriptors that the settings state, less the 200 for files, 7 in 10 are for the connections of all ports that clients reach, 1 in 10 for those of peers. A connection beyond that takes the place of the one longest without a request, otherwise of one whose request is incomplete; if all have a request in service, the new one is closed. Ordinary callers send their request at once, so that those who wait give way to them.

--- a/packages/endivebridge-gateway/src/Gateway.ts
+++ b/packages/endivebridge-gateway/src/Gateway.ts
@@ -65,6 +65,8 @@
     readonly stopTimeoutMillis: number;
     /** Memory that the process may use. */
     readonly memoryBytes: number;
+    /** Descriptors that the process may open. */
+    readonly maxDescriptors: number;
 }
 
 /** One running gateway: commands that change its state, and queries. */
@@ -125,6 +127,11 @@
 const reportIntervalMillis = 5_000;
 /** Share of the process's memory for what callers have sent and not read; garbage takes about as much again. */
 const clientMemoryShare = 0.2;
+/** Descriptors that the platform reserves for files. */
+const fileDescriptors = 200;
+/** Shares of the other descriptors for connections that callers and peers open; those to servers take the rest. */
+const callerDescriptorShare = 0.7;
+const peerDescriptorShare = 0.1;
 
 /** Wires the components of a gateway and starts its servers and timers. */
 export function startGateway(
@@ -284,17 +291,21 @@
     const isReady = () => beliefs.isStateComplete() && stoppingSinceMillis === undefined;
 
     const heldMemory = makeHeldMemory(settings.memoryBytes * clientMemoryShare);
-    const clientLimits = makeClientLimits({
-        memory: heldMemory,
-        onClose: (openConnections, claimedBytes) => {
-            metrics.limitedConnections.inc({ limit: "memory" });
-            log.warn(
-                "client limit",
-                { limit: "memory", openConnections, claimedBytes },
-                "clients hold more than the limit; closing a connection"
-            );
-        }
-    });
+    const limitConnections = (clients: "callers" | "peers", descriptorShare: number): ClientLimits =>
+        makeClientLimits({
+            maxConnections: Math.floor((settings.maxDescriptors - fileDescriptors) * descriptorShare),
+            memory: heldMemory,
+            onClose: (limit, openConnections, claimedBytes) => {
+                metrics.limitedConnections.inc({ clients, limit });
+                log.warn(
+                    "client limit",
+                    { clients, limit, openConnections, claimedBytes },
+                    "clients hold more than the limit; closing a connection"
+                );
+            }
+        });
+    const clientLimits = limitConnections("callers", callerDescriptorShare);
+    const peerLimits = limitConnections("peers", peerDescriptorShare);
     const callerServerParts: CallerServerParts = {
         dialect,
         configuration: beliefs.inForce,
@@ -334,6 +345,7 @@
     const callerServer = makeCallerServer(callerServerParts);
     const forwardedServer = makeCallerServer({
         ...callerServerParts,
+        limits: peerLimits,
         readForwarded: message => readForwardedRequest(message, incarnation)
     });
     const openRequests = () => callerServer.openRequests() + forwardedServer.openRequests();
@@ -465,7 +477,7 @@
                 forwardedServer.handleRequest(message, response);
             }
         },
-        limits: clientLimits,
+        limits: peerLimits,
         log
     });
     const stopSnapshotRequests = startSnapshotRequests({
--- a/packages/endivebridge-gateway/src/GatewayMetrics.ts
+++ b/packages/endivebridge-gateway/src/GatewayMetrics.ts
@@ -82,8 +82,8 @@
         }),
         limitedConnections: new Counter({
             name: "endivebridge_limited_connections_total",
-            help: "Connections closed because clients held more than a limit, by limit",
-            labelNames: ["limit"],
+            help: "Connections closed because callers or peers held more than a limit, by limit",
+            labelNames: ["clients", "limit"],
             registers
         }),
         cutRequests: new Counter({
--- a/packages/endivebridge-gateway/src/__tests__/unit/CallerServer.test.ts
+++ b/packages/endivebridge-gateway/src/__tests__/unit/CallerServer.test.ts
@@ -28,6 +28,7 @@
         whenStateComplete: () => sleep(answerDelayMillis),
         readForwarded: () => undefined,
         limits: makeClientLimits({
+            maxConnections: 10,
             memory: makeHeldMemory(1_000_000),
             onClose: () => undefined
         }),
--- a/packages/shared/src/ClientLimits.ts
+++ b/packages/shared/src/ClientLimits.ts
@@ -5,11 +5,15 @@
 import type { Teardown } from "./MergeTeardowns";
 import { makeReadTurns } from "./ReadTurns";
 
+/** Limit for which a connection was closed. */
+export type ClientLimitKind = "connections" | "memory";
+
 /** Limits on what the clients of some servers may hold together. */
 export interface ClientLimitOptions {
+    readonly maxConnections: number;
     readonly memory: HeldMemory;
-    /** Called for each connection that is closed for lack of memory, with the open connections and the bytes claimed. */
-    readonly onClose: (connections: number, claimedBytes: number) => void;
+    /** Called for each connection that is closed, with the number of open connections and the bytes claimed. */
+    readonly onClose: (kind: ClientLimitKind, connections: number, claimedBytes: number) => void;
 }
 
 /** Limits that several HTTP servers of a process share. */
@@ -31,16 +35,32 @@
 const lingerMillis = 3_000;
 
 /** Creates limits without connections. */
-export function makeClientLimits({ memory, onClose }: ClientLimitOptions): ClientLimits {
+export function makeClientLimits({ maxConnections, memory, onClose }: ClientLimitOptions): ClientLimits {
     const turns = makeReadTurns();
+    /** Ordered by when they last had an answer, or were opened. */
     const connections = new Map<Socket, ConnectionReader>();
 
-    const close = (socket: Socket) => {
-        onClose(connections.size, memory.claimedBytes());
+    const close = (socket: Socket, kind: ClientLimitKind) => {
+        onClose(kind, connections.size, memory.claimedBytes());
         connections.delete(socket);
         socket.destroy();
     };
 
+    /** The connection that has waited the longest for a request, or the end of one; otherwise the new one. */
+    const closeOne = (newSocket: Socket) => {
+        let incomplete: Socket | undefined;
+        for (const [socket, reader] of connections) {
+            if (!reader.hasRequest()) {
+                close(socket, "connections");
+                return;
+            }
+            if (incomplete === undefined && !reader.hasCompleteRequest()) {
+                incomplete = socket;
+            }
+        }
+        close(incomplete ?? newSocket, "connections");
+    };
+
     const discardInput: ClientLimits["discardInput"] = socket => connections.get(socket)?.discard();
 
     const closeWithLinger: ClientLimits["closeWithLinger"] = (socket, lastBytes = "") => {
@@ -54,8 +74,14 @@
             turns,
             memory,
             maxUnansweredRequests,
-            onShed: () => close(socket)
+            onShed: () => close(socket, "memory")
         });
+        if (connections.size >= maxConnections) {
+            closeOne(socket);
+        }
+        if (socket.destroyed) {
+            return;
+        }
         connections.set(socket, reader);
         const claim = memory.claim(connectionBytes, () => undefined);
         claim.keep();
@@ -75,7 +101,12 @@
             return;
         }
         reader.recordRequest(message);
-        response.once("finish", reader.recordAnswer);
+        response.once("finish", () => {
+            reader.recordAnswer();
+            if (connections.delete(socket)) {
+                connections.set(socket, reader);
+            }
+        });
     };
 
     return {
--- a/packages/shared/src/ConnectionReader.ts
+++ b/packages/shared/src/ConnectionReader.ts
@@ -9,6 +9,9 @@
     readonly recordRequest: (message: IncomingMessage) => void;
     /** Records that an answer is written. */
     readonly recordAnswer: () => void;
+    readonly hasRequest: () => boolean;
+    /** Whether a request without an answer has been received completely. */
+    readonly hasCompleteRequest: () => boolean;
     /** Discards what was received and what follows. */
     readonly discard: () => void;
 }
@@ -159,6 +162,8 @@
             bytesSinceAnswer = 0;
             resumeParsing();
         },
+        hasRequest: () => unansweredCount > 0,
+        hasCompleteRequest: () => unansweredCount > 1 || (unansweredCount === 1 && !isReadingBody()),
         discard: () => {
             isDiscarding = true;
             dropWaiting();
--- a/packages/shared/src/__tests__/unit/ClientLimits.test.ts
+++ b/packages/shared/src/__tests__/unit/ClientLimits.test.ts
@@ -1,4 +1,5 @@
-// Guards against a parser that takes in all that a client has sent at once, and against requests that change on the way to the parser.
+// Guards against a parser that takes in all that a client has sent at once, against connections that leave no room for
+// others, and against requests that change on the way to the parser.
 
 import test, { type ExecutionContext } from "ava";
 import fc from "fast-check";
@@ -15,6 +16,8 @@
     readonly closed: readonly string[];
     readonly requestCount: () => number;
     readonly open: (bytes?: string) => Socket;
+    /** Opens a connection that the server accepts before this resolves. */
+    readonly openInTurn: (bytes?: string) => Promise<Socket>;
 }
 
 const pollMillis = 10;
@@ -31,16 +34,19 @@
 async function startLimitedServer(
     t: ExecutionContext,
     onRequest: RequestListener,
-    { memoryBytes = 10_000_000 } = {}
+    { maxConnections = 100, memoryBytes = 10_000_000 } = {}
 ): Promise<LimitedServer> {
     const closed: string[] = [];
     const limits = makeClientLimits({
+        maxConnections,
         memory: makeHeldMemory(memoryBytes),
-        onClose: () => closed.push("memory")
+        onClose: kind => closed.push(kind)
     });
     const server = createServer(onRequest);
     limits.register(server);
+    let connectionCount = 0;
     let requestCount = 0;
+    server.on("connection", () => connectionCount += 1);
     server.on("request", () => requestCount += 1);
     server.listen(0, "127.0.0.1");
     await once(server, "listening");
@@ -59,7 +65,13 @@
         limits,
         closed,
         requestCount: () => requestCount,
-        open
+        open,
+        openInTurn: async bytes => {
+            const earlier = connectionCount;
+            const socket = open(bytes);
+            await until(() => connectionCount > earlier);
+            return socket;
+        }
     };
 }
 
@@ -173,6 +185,41 @@
     t.pass();
 });
 
+const answerOk: RequestListener = (message, response) => {
+    message.resume();
+    response.end("ok");
+};
+
+test("closes the connection that has been longest without a request", async t => {
+    const { openInTurn, closed } = await startLimitedServer(t, answerOk, { maxConnections: 3 });
+    const first = await openInTurn();
+    const second = await openInTurn(get("/").slice(0, -2));
+    const third = await openInTurn();
+    first.write(get("/first"));
+    t.is(countAnswers(await receiveUntil(first, text => text.includes("ok"))), 1);
+    const fourth = await openInTurn(get("/fourth"));
+    t.is(countAnswers(await receiveUntil(fourth, text => text.includes("ok"))), 1);
+    await until(() => second.closed);
+    t.deepEqual([first, second, third].map(socket => socket.closed), [false, true, false]);
+    t.deepEqual(closed, ["connections"]);
+});
+
+test("closes a new connection when all others have a request, unless one of them is incomplete", async t => {
+    const { openInTurn, closed, requestCount } = await startLimitedServer(t, message => message.resume(), {
+        maxConnections: 2
+    });
+    const inService = await openInTurn(get("/"));
+    const uploading = await openInTurn("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nx");
+    await until(() => requestCount() === 2);
+    const second = await openInTurn(get("/"));
+    await until(() => uploading.closed && requestCount() === 3);
+    t.deepEqual([inService, uploading, second].map(socket => socket.closed), [false, true, false]);
+    const third = await openInTurn(get("/"));
+    await until(() => third.closed);
+    t.deepEqual([inService, second, third].map(socket => socket.closed), [false, false, true]);
+    t.deepEqual(closed, ["connections", "connections"]);
+});
+
 test("delivers an answer that closes the connection to a client that is still sending", async t => {
     const { open } = await startLimitedServer(t, (message, response) => {
         response.writeHead(413, { "Connection": "close", "Content-Length": 0 });
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,5 +1,5 @@
 export { type ByteCollector, makeByteCollector } from "./ByteCollector";
-export { type ClientLimitOptions, type ClientLimits, makeClientLimits } from "./ClientLimits";
+export { type ClientLimitKind, type ClientLimitOptions, type ClientLimits, makeClientLimits } from "./ClientLimits";
 export { isConnectionHeader } from "./ConnectionHeaders";
 export { decodeUntrusted, decodeUntrustedJson, integerBetween, validEntries } from "./DecodeUntrusted";
 export { GuardedAgent } from "./GuardedAgent";
