Gateway: a refused body ends its connection, and a request that takes over a minute gets 408

Seen: beside 300 connections whose bodies are above the limit and have no end, no ordinary request is answered in five attempts of 6 s; such a connection is never closed. An upload that stops keeps its descriptor until its client leaves. Where the body limit is high, the rest of refused bodies takes 169 to 195 MB of 140.

Cause: the rest of a refused body is parsed and discarded, without limit. requestTimeout is 0.

Change: an answer to a request whose body is incomplete closes the connection. Up to 1 MB that the client sends on is discarded unparsed for 3 s, so that the answer is not lost to a reset; what is unread then makes the client wait. A request may take 60 s, many times the deadlines of callers; then it gets 408, which is true: it has not run. Bytes behind a protocol error are not parsed either.

--- a/packages/endivebridge-gateway/src/CallerServer.ts
+++ b/packages/endivebridge-gateway/src/CallerServer.ts
@@ -97,6 +97,10 @@
 
 /** Body limit of an instance that has no configuration yet. */
 const initialBodyBytes = 1_048_576;
+/** Longest time that a caller may take for a request; its deadline is shorter. */
+const requestTimeoutMillis = 60_000;
+/** Interval at which the header and request timeouts are checked. */
+const timeoutCheckIntervalMillis = 5_000;
 /** Idle connections stay open longer than declared, so that none closes while a timely request is under way to it. */
 const idleTimeoutMarginMillis = 1_000;
 const initialIdleTimeoutMillis = 60_000;
@@ -108,6 +112,14 @@
  */
 const earlyRefusalRetryMillis = 300;
 
+/** Code of the error of a request whose head or body is not received in time. */
+const requestTimeoutCode = "ERR_HTTP_REQUEST_TIMEOUT";
+
+/** Status line for a request that cannot be read, by the error's code. */
+function errorStatusLine(code: string | undefined): string {
+    return code === requestTimeoutCode ? "408 Request Timeout" : "400 Bad Request";
+}
+
 function hasRequiredHost({ headers, httpVersion }: IncomingMessage): boolean {
     return headers.host !== undefined || httpVersion !== "1.1";
 }
@@ -148,7 +160,7 @@
             const refuse = (reason: "too large" | "full") => {
                 message.removeAllListeners("data");
                 message.resume();
-                chunks.take();
+                chunks.clear();
                 memory.release();
                 resolve(reason);
             };
@@ -159,7 +171,7 @@
                     return;
                 }
                 chunks.append(chunk);
-                memory.setBodyBytes(chunks.length());
+                memory.setBodyBytes(chunks.heldBytes());
             });
             message.on("end", () => resolve(chunks.take()));
             message.on("close", () => resolve("disconnected"));
@@ -181,7 +193,8 @@
     ) => {
         const { status, meaning } = finalAnswers[kind];
         const body = `${JSON.stringify({ error: meaning })}\n`;
-        const isClosing = closesConnection(connectionRequest);
+        // The rest of a body that was refused is not read.
+        const isClosing = closesConnection(connectionRequest) || !response.req.complete;
         if (isClosing) {
             connectionRequest.closeAfterAnswer();
         }
@@ -438,6 +451,8 @@
     };
     const server = createServer({
         keepAliveTimeout: initialIdleTimeoutMillis,
+        requestTimeout: requestTimeoutMillis,
+        connectionsCheckingInterval: timeoutCheckIntervalMillis,
         // Refusals of the server itself would not count as unanswered requests.
         requireHostHeader: false,
         noDelay: true
@@ -457,14 +472,18 @@
                 return;
             }
             parts.log.info("bad request", { error: error.message }, "caller connection closed after a protocol error");
+            if (error.code === requestTimeoutCode) {
+                parts.metrics.limitedConnections.inc({ clients: "callers", limit: "time" });
+            }
             const isCallerGone = error.code === "ECONNRESET" || error.code === "EPIPE";
             if (!isCallerGone) {
                 connection?.recordClosing("protocolError");
             }
             if (socket.writable && !isCallerGone && connection?.isWritingAnswer() !== true) {
+                const statusLine = errorStatusLine(error.code);
                 parts.limits.closeWithLinger(
                     socket as Socket,
-                    `HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`
+                    `HTTP/1.1 ${statusLine}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`
                 );
             }
             else {
@@ -530,5 +549,4 @@
         extendIdleTimeout(socket, idleTimeoutMillis);
     }
     server.headersTimeout = callerLimits.headerTimeoutMillis;
-    server.requestTimeout = 0;
 }
--- a/packages/shared/src/ConnectionReader.ts
+++ b/packages/shared/src/ConnectionReader.ts
@@ -34,6 +34,9 @@
 /** The socket is not read while more bytes than this wait for the parser; until then a close is noticed. */
 const maxWaitingBytes = 16_384;
 
+/** The rest of a body is discarded so that its client reads the answer; beyond this, the client has to wait. */
+const maxDiscardedBytes = 1_048_576;
+
 /**
  * Passes the bytes of a connection to the server's parser in pieces. The parser itself takes in all requests and chunks of
  * what it is given at once, whether or not their answers are read.
@@ -44,7 +47,8 @@
     const readSocket = socket._read.bind(socket);
     let waiting: Buffer[] = [];
     let waitingBytes = 0;
-    let isDiscarding = false;
+    /** Bytes that may still be discarded; undefined while bytes are parsed. */
+    let discardableBytes: number | undefined;
     let unansweredCount = 0;
     let lastMessage: IncomingMessage | undefined;
     let bytesSinceAnswer = 0;
@@ -134,8 +138,9 @@
             dropWaiting();
             return push(chunk);
         }
-        if (isDiscarding) {
-            return true;
+        if (discardableBytes !== undefined) {
+            discardableBytes -= chunk.length;
+            return discardableBytes > 0;
         }
         const isImmediate = waitingBytes === 0 && chunk.length <= maxPieceBytes && reader.isLight()
             && mayParse() && turns.tryParseNow(chunk.length);
@@ -165,7 +170,7 @@
         hasRequest: () => unansweredCount > 0,
         hasCompleteRequest: () => unansweredCount > 1 || (unansweredCount === 1 && !isReadingBody()),
         discard: () => {
-            isDiscarding = true;
+            discardableBytes ??= maxDiscardedBytes;
             dropWaiting();
             if (!socket.destroyed) {
                 readSocket(0);
