Daemon: requests of a closed connection are no longer counted as open

Seen: an instance whose clients have left with requests unanswered does not end on the stop signal before its drain time is over.

Cause: the count of open exchanges falls when a response closes. Node.js emits that on the first response of a connection only, not on those of the requests sent behind it.

Change: each connection keeps its open exchanges and ends them when it closes.

--- a/packages/endivebridge-daemon/src/CallerServer.ts
+++ b/packages/endivebridge-daemon/src/CallerServer.ts
@@ -15,6 +15,13 @@
     readonly response: ServerResponse;
 }
 
+interface CallerConnection {
+    /** Requests in the order of arrival. */
+    readonly queue: Queue.Queue<Exchange>;
+    /** Requests whose response is not written yet. */
+    readonly openExchanges: Set<Exchange>;
+}
+
 const internalPathPrefix = "/.endivebridge/";
 
 /** The HTTP server that answers callers, operators and health checks. */
@@ -121,7 +128,7 @@
 /** Starts the HTTP server. Each connection has its own task, which is interrupted when the connection closes. */
 export function openCallerServer(context: Context): Promise<CallerServer> {
     const { limits, callers } = context.settings;
-    const exchangeQueues = new WeakMap<Socket, Queue.Queue<Exchange>>();
+    const connections = new WeakMap<Socket, CallerConnection>();
     let connectionCount = 0;
     let openExchangeCount = 0;
     const server = createServer({
@@ -132,23 +139,35 @@
         connectionsCheckingInterval: 1_000
     });
     server.maxConnections = limits.callerConnections;
+    const endExchange = (connection: CallerConnection, exchange: Exchange) => {
+        if (connection.openExchanges.delete(exchange)) {
+            openExchangeCount -= 1;
+        }
+    };
     server.on("connection", socket => {
         connectionCount += 1;
-        const exchangeQueue = Effect.runSync(Queue.unbounded<Exchange>());
-        exchangeQueues.set(socket, exchangeQueue);
+        const queue = Effect.runSync(Queue.unbounded<Exchange>());
+        const connection: CallerConnection = { queue, openExchanges: new Set() };
+        connections.set(socket, connection);
         const name = `${context.settings.instance}-${context.incarnation}-${connectionCount}`;
-        const task = context.fork(serveConnection(context, exchangeQueue, name));
-        socket.on("close", () => Effect.runFork(Fiber.interrupt(task)));
+        const task = context.fork(serveConnection(context, queue, name));
+        socket.on("close", () => {
+            // Node emits `close` only on the first response of a connection, not on those of requests behind it.
+            connection.openExchanges.forEach(exchange => endExchange(connection, exchange));
+            Effect.runFork(Fiber.interrupt(task));
+        });
     });
     server.on("request", (incoming, response) => {
-        openExchangeCount += 1;
-        response.on("close", () => openExchangeCount -= 1);
-        const exchangeQueue = exchangeQueues.get(incoming.socket);
-        if (exchangeQueue === undefined) {
+        const connection = connections.get(incoming.socket);
+        if (connection === undefined) {
             response.destroy();
             return;
         }
-        Queue.offerUnsafe(exchangeQueue, { incoming, response });
+        const exchange: Exchange = { incoming, response };
+        openExchangeCount += 1;
+        connection.openExchanges.add(exchange);
+        response.on("close", () => endExchange(connection, exchange));
+        Queue.offerUnsafe(connection.queue, exchange);
     });
     server.on("clientError", (error, socket) => {
         context.log.debug({ code: error.message }, "malformed HTTP request; answering 400 and closing the connection");
