Daemon: callers' connections, requests and memory have the same limits as at the gateway

Seen: 30 connections that send reads or writes ahead end the process (a heap of 128 MB, as in the deploy file). Beside 190 that send chunks of one byte or look-ups ahead, no ordinary request is answered in five attempts of 6 s. A stop beside requests sent ahead never ends in order.

Cause: each connection has a queue without a bound, which the parser fills; bodies and unread answers have no common bound.

Change: the caller server registers the limits of the gateway's. New setting limits.clientMemoryBytes (64 MB); beyond it the largest upload is refused as not run (overloaded). At limits.callerConnections the connection longest without a request gives way, where new ones were dropped before. 408 for requests that are not received in time. New counter limited_connections and a log line, once a second at most.

--- a/packages/endivebridge-bench/src/__tests__/load/ClientCrowds.test.ts
+++ b/packages/endivebridge-bench/src/__tests__/load/ClientCrowds.test.ts
@@ -1,11 +1,23 @@
-// Guards against an instance that does not end for what clients have sent and don't wait for.
+// Guards against clients that make an instance hold what they send and don't finish, until its process runs out of memory
+// or descriptors, or that keep it busy, so that it serves nobody else.
 
-import { openClientCrowd } from "@endivebridge/standins";
-import test from "ava";
+import { range } from "@endivebridge/shared";
+import { type ClientCrowd, type CrowdConnection, openClientCrowd, watchProcess } from "@endivebridge/standins";
+import test, { type ExecutionContext } from "ava";
 import { once } from "node:events";
+import type { Testbed } from "../../Testbed";
 import { pause, smallDeployment, startSmallTestbed } from "../integration/SmallTestbed";
 
+/** The memory of a machine, with the heap of the deploy file. */
+const memoryMegabytes = 350;
 const nodeArguments = ["--max-old-space-size=128", "--max-semi-space-size=2"];
+const callerConnections = 200;
+/** Servers, peers, the platform and the files of a process need few beside those of callers. */
+const maxDescriptors = callerConnections + 200;
+const crowdMillis = 2_500;
+const attempts = 5;
+const attemptPatienceMillis = 6_000;
+const megabyte = 1_048_576;
 
 const deployment = {
     ...smallDeployment,
@@ -14,21 +26,184 @@
     instancesPerDomain: 1
 };
 
+const head = (lines: readonly string[], index: number) =>
+    [
+        "POST /circulation/checkouts HTTP/1.1",
+        "Host: desk.example",
+        `Idempotency-Key: crowd-${index}`,
+        "Endivebridge-Deadline-Millis: 2000",
+        ...lines,
+        "\r\n"
+    ].join("\r\n");
+const chunked = (index: number) => head(["Transfer-Encoding: chunked"], index);
+const chunkOf = (bytes: number) => `${bytes.toString(16)}\r\n${"x".repeat(bytes)}\r\n`;
 const read = "GET /circulation/holds HTTP/1.1\r\nHost: desk.example\r\nEndivebridge-Deadline-Millis: 2000\r\n\r\n";
 
+interface Crowd {
+    readonly connections: number;
+    readonly connection: (index: number) => CrowdConnection;
+}
+
+/** What each kind of crowd sends to the address for callers. */
+const crowds: Readonly<Record<string, Crowd>> = {
+    "bodies in chunks of one byte": {
+        connections: 190,
+        connection: index => ({ begin: chunked(index), repeat: chunkOf(1) })
+    },
+    "bodies in chunks of 64 KB that stop short of their end": {
+        connections: 190,
+        connection: index => ({ begin: chunked(index), repeat: chunkOf(65_536), maxBytes: 0.9 * megabyte })
+    },
+    "requests sent ahead": { connections: 30, connection: () => ({ begin: "", repeat: read }) },
+    "writes sent ahead with bodies in chunks": {
+        connections: 30,
+        connection: index => ({ begin: "", repeat: `${chunked(index)}${chunkOf(1).repeat(20)}0\r\n\r\n` })
+    },
+    "requests sent ahead without headers": {
+        connections: 190,
+        connection: () => ({ begin: "", repeat: "GET /circulation/holds HTTP/1.1\r\n\r\n" })
+    },
+    "look-ups sent ahead": {
+        connections: 190,
+        connection: () => ({
+            begin: "",
+            repeat: "GET /.endivebridge/lookup?service=circulation HTTP/1.1\r\nHost: a\r\n\r\n"
+        })
+    },
+    "commands without the operators' key sent ahead": {
+        connections: 190,
+        connection: () => ({
+            begin: "",
+            repeat: `POST /.endivebridge/operator/command HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n${
+                "x".repeat(9)
+            }`
+        })
+    },
+    "request heads that stop short of their end": {
+        connections: 600,
+        connection: () => ({ begin: read.slice(0, -2) })
+    },
+    "connections that send nothing": { connections: 600, connection: () => ({ begin: "" }) },
+    "a byte of a body now and then": {
+        connections: 600,
+        connection: index => ({ begin: chunked(index), repeat: chunkOf(1), repeatMillis: 500 })
+    }
+};
+
+/** Asks for an answer as callers do, some times; resolves with whether one was served. */
+async function isServed({ instances }: Testbed, index = 0): Promise<boolean> {
+    for (const attempt of range(attempts)) {
+        const status = await fetch(`http://${instances[index]!.callerAddress}/circulation/holds`, {
+            headers: { "X-Token": `ordinary-${attempt}`, "Connection": "close" },
+            signal: AbortSignal.timeout(attemptPatienceMillis)
+        }).then(async response => {
+            await response.arrayBuffer();
+            return response.status;
+        }, () => undefined);
+        if (status === 200) {
+            return true;
+        }
+        await pause(300);
+    }
+    return false;
+}
+
+async function startLimitedTestbed(t: ExecutionContext): Promise<Testbed> {
+    const testbed = await startSmallTestbed({ deployment, nodeArguments, limits: { callerConnections } });
+    t.teardown(testbed.close);
+    return testbed;
+}
+
+function openCrowd({ instances }: Testbed, crowd: Crowd): ClientCrowd {
+    const [host = "", port] = instances[0]!.callerAddress.split(":");
+    return openClientCrowd({ host, port: Number(port), ...crowd });
+}
+
+/** Checks an instance beside a crowd and after it. */
+async function checkBesideCrowd(
+    t: ExecutionContext,
+    testbed: Testbed,
+    openCrowds: () => readonly ClientCrowd[],
+    index = 0
+): Promise<void> {
+    const watch = watchProcess(testbed.instances[index]!.process!);
+    t.teardown(watch.stop);
+    t.true(await isServed(testbed, index), "served in calm");
+    const opened = openCrowds();
+    t.teardown(() => opened.forEach(crowd => crowd.close()));
+    await pause(crowdMillis);
+    const isServedBeside = await isServed(testbed, index);
+    const sent = opened.reduce((sum, crowd) => sum + crowd.sentBytes(), 0);
+    t.true(watch.isRunning(), "the process runs beside the crowd");
+    const use = watch.use();
+    t.log(
+        `${use.memoryMegabytes} MB and ${use.descriptors} descriptors at most; ${Math.round(sent / megabyte)} MB sent`
+    );
+    opened.forEach(crowd => crowd.close());
+    t.true(isServedBeside, "served beside the crowd");
+    t.true(await isServed(testbed, index), "served after the crowd");
+    t.true(watch.isRunning(), "the process runs after the crowd");
+    t.true(use.memoryMegabytes <= memoryMegabytes, `${use.memoryMegabytes} MB`);
+    t.true(use.descriptors <= maxDescriptors, `${use.descriptors} descriptors`);
+}
+
+for (const [name, crowd] of Object.entries(crowds)) {
+    test.serial(`serves others beside ${name}`, async t => {
+        t.timeout(120_000);
+        const testbed = await startLimitedTestbed(t);
+        await checkBesideCrowd(t, testbed, () => [openCrowd(testbed, crowd)]);
+    });
+}
+
+test.serial("serves others beside requests sent ahead and bodies in chunks of one byte", async t => {
+    t.timeout(120_000);
+    const testbed = await startLimitedTestbed(t);
+    await checkBesideCrowd(
+        t,
+        testbed,
+        () => ["requests sent ahead", "bodies in chunks of one byte"].map(name => openCrowd(testbed, crowds[name]!))
+    );
+});
+
+test.serial("closes connections whose body is above the limit and has no end", async t => {
+    t.timeout(120_000);
+    const testbed = await startLimitedTestbed(t);
+    const crowd = openCrowd(testbed, {
+        connections: 5,
+        connection: index => ({ begin: chunked(index), repeat: chunkOf(4_096), maxBytes: Infinity })
+    });
+    t.teardown(crowd.close);
+    const isEveryOneClosed = async () => {
+        for (let polls = 0; polls < 150; polls += 1) {
+            await pause(100);
+            if (crowd.openCount() === 0) {
+                return true;
+            }
+        }
+        return false;
+    };
+    t.true(await isEveryOneClosed());
+});
+
+test.serial("ends on the stop signal beside requests sent ahead", async t => {
+    t.timeout(120_000);
+    const testbed = await startLimitedTestbed(t);
+    const child = testbed.instances[0]!.process!;
+    const crowd = openCrowd(testbed, crowds["requests sent ahead"]!);
+    t.teardown(crowd.close);
+    await pause(crowdMillis);
+    child.kill("SIGTERM");
+    await Promise.race([once(child, "exit"), pause(40_000)]);
+    t.is(child.exitCode, 0);
+});
+
 test.serial("ends on the stop signal after clients have left whose requests had no answer", async t => {
     t.timeout(120_000);
     const testbed = await startSmallTestbed({ deployment, nodeArguments, timing: { drainMillis: 60_000 } });
     t.teardown(testbed.close);
     testbed.backends.forEach(({ standIn }) => standIn.behaviour.serviceMillis = 1_000);
     const child = testbed.instances[0]!.process!;
-    const [host = "", port] = testbed.instances[0]!.callerAddress.split(":");
-    const crowd = openClientCrowd({
-        host,
-        port: Number(port),
-        connections: 10,
-        connection: () => ({ begin: read.repeat(20) })
-    });
+    const crowd = openCrowd(testbed, { connections: 10, connection: () => ({ begin: read.repeat(20) }) });
     await pause(1_000);
     crowd.close();
     await pause(1_000);
--- a/packages/endivebridge-daemon/src/CallerRequest.ts
+++ b/packages/endivebridge-daemon/src/CallerRequest.ts
@@ -1,6 +1,6 @@
 import { type SteeringError, steeringError } from "@endivebridge/core";
 import type { ServiceDefinition } from "@endivebridge/settings";
-import { makeByteCollector, monotonicMillis } from "@endivebridge/shared";
+import { makeByteCollector, monotonicMillis, type RequestMemory } from "@endivebridge/shared";
 import { Effect } from "effect";
 import type { IncomingMessage } from "node:http";
 import type { Context } from "./Context";
@@ -96,30 +96,50 @@
     return Effect.succeed(Math.min(Number(text), definition.maximumDeadlineMillis));
 }
 
-/** Buffers the whole request body; fails with bodyTooLarge once it exceeds `maxBytes`. */
+/**
+ * Buffers the whole request body; fails with bodyTooLarge once it exceeds `maxBytes`, and with overloaded if its memory is
+ * needed for others.
+ */
 export function readBody(
     incoming: IncomingMessage,
     head: Pick<RequestHead, "contentLength" | "chunked">,
-    maxBytes: number
+    maxBytes: number,
+    memory: RequestMemory
 ): Effect.Effect<Buffer, SteeringError> {
     if (Number(head.contentLength ?? 0) > maxBytes) {
         return refuse("bodyTooLarge", `at most ${maxBytes} bytes`);
     }
+    if (memory.isRefused()) {
+        incoming.pause();
+        return refuse("overloaded", "callers hold too much memory");
+    }
     if (head.contentLength === undefined && !head.chunked) {
         incoming.resume();
+        memory.keep();
         return Effect.succeed(emptyBody);
     }
     return Effect.callback<Buffer, SteeringError>(resume => {
         const body = makeByteCollector();
+        const stop = (refusal: Effect.Effect<never, SteeringError>) => {
+            incoming.removeAllListeners("data");
+            incoming.pause();
+            body.clear();
+            memory.release();
+            resume(refusal);
+        };
+        memory.setRefusalListener(() => stop(refuse("overloaded", "callers hold too much memory")));
         incoming.on("data", (chunk: Buffer) => {
             if (body.length() + chunk.length > maxBytes) {
-                incoming.pause();
-                resume(refuse("bodyTooLarge", `at most ${maxBytes} bytes`));
+                stop(refuse("bodyTooLarge", `at most ${maxBytes} bytes`));
                 return;
             }
             body.append(chunk);
+            memory.setBodyBytes(body.heldBytes());
+        });
+        incoming.on("end", () => {
+            memory.keep();
+            resume(Effect.succeed(body.take()));
         });
-        incoming.on("end", () => resume(Effect.succeed(body.take())));
         incoming.on("error", error => resume(refuse("badRequest", error.message)));
     });
 }
@@ -132,7 +152,8 @@
 export const readCallerRequest = (
     context: Context,
     incoming: IncomingMessage,
-    request: string
+    request: string,
+    memory: RequestMemory
 ): Effect.Effect<SteeringRequest, SteeringError> =>
     Effect.gen(function*() {
         const configuration = context.configuration.read();
@@ -163,7 +184,7 @@
         const deadlineMillis = yield* parseDeadlineMillis(head.deadline, definition);
         const deadlineAtMillis = monotonicMillis() + deadlineMillis;
         const method = incoming.method ?? "GET";
-        const body = yield* readBody(incoming, head, context.settings.limits.bodyBytes);
+        const body = yield* readBody(incoming, head, context.settings.limits.bodyBytes, memory);
         return {
             request,
             service,
--- a/packages/endivebridge-daemon/src/CallerServer.ts
+++ b/packages/endivebridge-daemon/src/CallerServer.ts
@@ -1,4 +1,12 @@
 import { errorAnswers, type ErrorKind, steeringError } from "@endivebridge/core";
+import {
+    claimAnswerMemory,
+    claimRequestMemory,
+    type ClientLimitOptions,
+    makeClientLimits,
+    monotonicMillis,
+    type RequestMemory
+} from "@endivebridge/shared";
 import { Effect, Fiber, Queue, Result } from "effect";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
@@ -13,15 +21,22 @@
 interface Exchange {
     readonly incoming: IncomingMessage;
     readonly response: ServerResponse;
+    readonly memory: RequestMemory;
 }
 
 interface CallerConnection {
-    /** Requests in the order of arrival. */
+    /** Requests in the order of arrival. The server parses no further ones while many have no answer. */
     readonly queue: Queue.Queue<Exchange>;
     /** Requests whose response is not written yet. */
     readonly openExchanges: Set<Exchange>;
 }
 
+const limitLogIntervalMillis = 1_000;
+/** Status line for a request that cannot be read, by the error's code. */
+function errorStatusLine(code: string | undefined): string {
+    return code === "ERR_HTTP_REQUEST_TIMEOUT" ? "408 Request Timeout" : "400 Bad Request";
+}
+
 const internalPathPrefix = "/.endivebridge/";
 
 /** The HTTP server that answers callers, operators and health checks. */
@@ -32,7 +47,7 @@
     readonly close: () => void;
 }
 
-function answerInternalRequest(context: Context, incoming: IncomingMessage): Effect.Effect<Answer, never> {
+function answerInternalRequest(context: Context, { incoming, memory }: Exchange): Effect.Effect<Answer, never> {
     const url = new URL(incoming.url ?? "/", "http://instance");
     const name = url.pathname.slice(internalPathPrefix.length);
     if (name === "lookup") {
@@ -50,7 +65,7 @@
         const ready = context.configuration.read() !== undefined && !context.shutdown.read();
         return Effect.succeed(jsonAnswer(ready ? 200 : 503, { ready }));
     }
-    return handleOperatorRequest(context, incoming, name);
+    return handleOperatorRequest(context, incoming, name, memory);
 }
 
 /** Counts a request as refused or answered and returns its service's ratio of refused to answered requests. */
@@ -61,15 +76,16 @@
     return (rates?.get("refused") ?? 0) / Math.max(1, rates?.get("answered") ?? 1);
 }
 
-const answerExchange = (context: Context, incoming: IncomingMessage, request: string): Effect.Effect<Answer> =>
+const answerExchange = (context: Context, exchange: Exchange, request: string): Effect.Effect<Answer> =>
     Effect.gen(function*() {
+        const { incoming, memory } = exchange;
         if ((incoming.url ?? "").startsWith(internalPathPrefix)) {
-            return yield* answerInternalRequest(context, incoming);
+            return yield* answerInternalRequest(context, exchange);
         }
         const startedAtMillis = performance.now();
         const result = yield* Effect.result(
             Effect.flatMap(
-                readCallerRequest(context, incoming, request),
+                readCallerRequest(context, incoming, request, memory),
                 callerRequest => serveRequest(context, callerRequest)
             )
         );
@@ -97,7 +113,7 @@
 const serveExchange = (context: Context, exchange: Exchange, request: string): Effect.Effect<void> =>
     Effect.gen(function*() {
         const answer = yield* Effect.catchCause(
-            answerExchange(context, exchange.incoming, request),
+            answerExchange(context, exchange, request),
             cause =>
                 Effect.sync(() => {
                     context.log.error(
@@ -110,6 +126,8 @@
         if (context.shutdown.read() || !exchange.incoming.complete) {
             exchange.response.setHeader("Connection", "close");
         }
+        const cutUnread = () => exchange.response.destroy();
+        claimAnswerMemory(context.clientMemory, exchange.response, answer.body.length, cutUnread);
         const streaming = writeAnswer(exchange.response, answer, request);
         if (streaming !== undefined) {
             yield* Effect.promise(() => streaming);
@@ -125,9 +143,33 @@
         }
     });
 
+/** Counts the connections that a limit closes, and logs them at most once in an interval. */
+function makeLimitLog(context: Context): ClientLimitOptions["onClose"] {
+    let loggedMillis = -Infinity;
+    let closedCount = 0;
+    return (limit, openConnections, claimedBytes) => {
+        closedCount += 1;
+        context.metrics.count("limited_connections", { limit });
+        const nowMillis = monotonicMillis();
+        if (nowMillis - loggedMillis >= limitLogIntervalMillis) {
+            context.log.warn(
+                { limit, openConnections, claimedBytes, closedCount },
+                "callers hold more than the limit; closing connections"
+            );
+            loggedMillis = nowMillis;
+            closedCount = 0;
+        }
+    };
+}
+
 /** Starts the HTTP server. Each connection has its own task, which is interrupted when the connection closes. */
 export function openCallerServer(context: Context): Promise<CallerServer> {
     const { limits, callers } = context.settings;
+    const clientLimits = makeClientLimits({
+        maxConnections: limits.callerConnections,
+        memory: context.clientMemory,
+        onClose: makeLimitLog(context)
+    });
     const connections = new WeakMap<Socket, CallerConnection>();
     let connectionCount = 0;
     let openExchangeCount = 0;
@@ -136,12 +178,15 @@
         headersTimeout: limits.headTimeoutMillis,
         requestTimeout: limits.bodyTimeoutMillis,
         keepAliveTimeout: limits.idleConnectionMillis,
-        connectionsCheckingInterval: 1_000
+        connectionsCheckingInterval: 1_000,
+        // Refusals of the server itself would not count as unanswered requests.
+        requireHostHeader: false
     });
-    server.maxConnections = limits.callerConnections;
+    clientLimits.register(server);
     const endExchange = (connection: CallerConnection, exchange: Exchange) => {
         if (connection.openExchanges.delete(exchange)) {
             openExchangeCount -= 1;
+            exchange.memory.release();
         }
     };
     server.on("connection", socket => {
@@ -163,17 +208,27 @@
             response.destroy();
             return;
         }
-        const exchange: Exchange = { incoming, response };
+        const exchange: Exchange = {
+            incoming,
+            response,
+            memory: claimRequestMemory(context.clientMemory, incoming)
+        };
         openExchangeCount += 1;
         connection.openExchanges.add(exchange);
         response.on("close", () => endExchange(connection, exchange));
         Queue.offerUnsafe(connection.queue, exchange);
     });
-    server.on("clientError", (error, socket) => {
-        context.log.debug({ code: error.message }, "malformed HTTP request; answering 400 and closing the connection");
+    server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+        const statusLine = errorStatusLine(error.code);
+        context.log.debug({ code: error.message, statusLine }, "HTTP request not readable; closing the connection");
+        if (socket.writableEnded) {
+            // Bytes that arrive while the connection lingers.
+            return;
+        }
         if (socket.writable) {
-            socket.end(
-                "HTTP/1.1 400 Bad Request\r\nEndivebridge-Error: badRequest\r\nEndivebridge-Ran: no\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+            clientLimits.closeWithLinger(
+                socket as Socket,
+                `HTTP/1.1 ${statusLine}\r\nEndivebridge-Error: badRequest\r\nEndivebridge-Ran: no\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`
             );
         }
         else {
--- a/packages/endivebridge-daemon/src/Context.ts
+++ b/packages/endivebridge-daemon/src/Context.ts
@@ -16,7 +16,7 @@
 } from "@endivebridge/core";
 import type { ListedBackendServer, ListedEntryInstance, PlatformClient } from "@endivebridge/platform";
 import type { ConfigurationDocument, InstanceSettings } from "@endivebridge/settings";
-import type { State } from "@endivebridge/shared";
+import type { HeldMemory, State } from "@endivebridge/shared";
 import type { Effect, Fiber, Semaphore } from "effect";
 import type { BackendConnections } from "./BackendConnections";
 import type { LinkUsage } from "./Links";
@@ -87,6 +87,8 @@
     /** Logs one step of server selection for later replay; undefined unless enabled in the settings. */
     readonly logDecisionStep: ((service: string, step: DecisionStep) => void) | undefined;
     readonly platform: PlatformClient;
+    /** Memory for what callers and peers have sent and not read. */
+    readonly clientMemory: HeldMemory;
     readonly connections: BackendConnections;
     readonly journal: Journal<Answer>;
     readonly lease: Lease;
--- a/packages/endivebridge-daemon/src/Daemon.ts
+++ b/packages/endivebridge-daemon/src/Daemon.ts
@@ -15,7 +15,7 @@
 } from "@endivebridge/core";
 import { makePlatformClient } from "@endivebridge/platform";
 import type { InstanceSettings } from "@endivebridge/settings";
-import { makeState, mergeTeardowns, monotonicMillis } from "@endivebridge/shared";
+import { makeHeldMemory, makeState, mergeTeardowns, monotonicMillis } from "@endivebridge/shared";
 import { Effect, Fiber, Scheduler, Semaphore } from "effect";
 import { randomBytes } from "node:crypto";
 import { makeBackendConnections } from "./BackendConnections";
@@ -80,6 +80,7 @@
         metrics: makeMetrics(settings.metrics, settings.instance),
         timeLine: makeTimeLine(settings.instance),
         platform: makePlatformClient(settings.platform),
+        clientMemory: makeHeldMemory(settings.limits.clientMemoryBytes),
         connections: makeBackendConnections({
             connectionsPerServer: settings.limits.connectionsPerServer,
             idleMillis: settings.timing.connectionIdleMillis
--- a/packages/endivebridge-daemon/src/Metrics.ts
+++ b/packages/endivebridge-daemon/src/Metrics.ts
@@ -9,6 +9,7 @@
     | "forwards"
     | "lookups"
     | "operations"
+    | "limited_connections"
     | "answer_millis"
     | "queue_wait_millis"
     | "owned_slots"
--- a/packages/endivebridge-daemon/src/OperatorApi.ts
+++ b/packages/endivebridge-daemon/src/OperatorApi.ts
@@ -1,4 +1,5 @@
 import { orderInstances, type SteeringError, steeringError } from "@endivebridge/core";
+import type { RequestMemory } from "@endivebridge/shared";
 import { Effect, Result, Schema } from "effect";
 import type { IncomingMessage } from "node:http";
 import { errorAnswer, jsonAnswer } from "./Answers";
@@ -84,13 +85,18 @@
     return { service, client, homeRegion: clientRegion, steeredTo: lookupQuery.homeRegion, chosen, passedOver };
 }
 
-const runCommand = (context: Context, incoming: IncomingMessage): Effect.Effect<Answer, SteeringError> =>
+const runCommand = (
+    context: Context,
+    incoming: IncomingMessage,
+    memory: RequestMemory
+): Effect.Effect<Answer, SteeringError> =>
     Effect.gen(function*() {
         const contentLength = incoming.headers["content-length"];
         const body = yield* readBody(
             incoming,
             { contentLength, chunked: contentLength === undefined },
-            maxCommandBytes
+            maxCommandBytes,
+            memory
         );
         const decoded = Schema.decodeUnknownResult(Schema.fromJsonString(AcceptConfiguration))(body.toString());
         if (Result.isFailure(decoded)) {
@@ -129,14 +135,15 @@
 export function handleOperatorRequest(
     context: Context,
     incoming: IncomingMessage,
-    name: string
+    name: string,
+    memory: RequestMemory
 ): Effect.Effect<Answer> {
     if (!keysMatch(bearerToken(incoming), context.settings.keys.operator)) {
         return Effect.succeed(errorAnswer(steeringError("unauthorized"), ""));
     }
     const url = new URL(incoming.url ?? "/", "http://instance");
     const answer = name === "operator/command" && incoming.method === "POST"
-        ? runCommand(context, incoming)
+        ? runCommand(context, incoming, memory)
         : handleQuery(context, name, url);
     return Effect.catch(answer, error => Effect.succeed(errorAnswer(error, "")));
 }
--- a/packages/endivebridge-settings/src/Settings.ts
+++ b/packages/endivebridge-settings/src/Settings.ts
@@ -35,7 +35,14 @@
     headTimeoutMillis: millisWithDefault(10_000, "timeout for receiving a caller's request head"),
     bodyTimeoutMillis: millisWithDefault(20_000, "timeout for receiving a caller's complete request"),
     idleConnectionMillis: millisWithDefault(60_000, "idle timeout of a caller's connection"),
-    callerConnections: countWithDefault(4_000, "maximum number of open connections from callers"),
+    callerConnections: countWithDefault(
+        4_000,
+        "maximum number of open connections from callers; beyond it, the one longest without a request is closed"
+    ),
+    clientMemoryBytes: bytes(
+        67_108_864,
+        "memory for what callers and peers have sent and not read, all together; what takes most is refused first"
+    ),
     connectionsPerServer: countWithDefault(400, "maximum number of open connections to one backend server")
 });
 
