Daemon: calls of peers claim their memory before they are read

Cause: HTTP/2 streams are read side by side to their end, before anything can refuse a call; the body is then copied once more.

Change: a call names the size of its body in a header. The memory for it and for the decoded message is claimed from limits.clientMemoryBytes when the head arrives; without it the call is refused unread, with a header that says so. The sender takes that as not run (overloaded). The body is not copied again. Peers of earlier builds send no size: their calls count without their bodies, and an earlier sender takes the refusal for one that may have run. New counter refused_peer_calls.

--- a/packages/endivebridge-bench/src/__tests__/load/ClientCrowds.test.ts
+++ b/packages/endivebridge-bench/src/__tests__/load/ClientCrowds.test.ts
@@ -1,10 +1,14 @@
 // Guards against clients that make an instance hold what they send and don't finish, until its process runs out of memory
 // or descriptors, or that keep it busy, so that it serves nobody else.
 
+import { createClient } from "@connectrpc/connect";
+import { createConnectTransport } from "@connectrpc/connect-node";
+import { PeerService } from "@endivebridge/protocol";
 import { range } from "@endivebridge/shared";
 import { type ClientCrowd, type CrowdConnection, openClientCrowd, watchProcess } from "@endivebridge/standins";
 import test, { type ExecutionContext } from "ava";
 import { once } from "node:events";
+import { peerKey } from "../../InstanceProcesses";
 import type { Testbed } from "../../Testbed";
 import { pause, smallDeployment, startSmallTestbed } from "../integration/SmallTestbed";
 
@@ -211,3 +215,93 @@
     await Promise.race([once(child, "exit"), pause(30_000)]);
     t.is(child.exitCode, 0);
 });
+
+/** Asks an instance for the prefix of the operations that it owns. */
+async function readOperationPrefix(callerAddress: string, owner: string): Promise<string> {
+    const lookup = await fetch(`http://${callerAddress}/.endivebridge/lookup?service=circulation`);
+    const { instances } = await lookup.json() as {
+        readonly instances: readonly { readonly instance: string; readonly operationPrefix: string; }[];
+    };
+    return instances.find(({ instance }) => instance === owner)!.operationPrefix;
+}
+
+test.serial("serves others at the instance that owns large operations which callers send to a peer", async t => {
+    t.timeout(120_000);
+    const testbed = await startSmallTestbed({
+        deployment: { ...deployment, instancesPerDomain: 2 },
+        nodeArguments,
+        limits: { callerConnections }
+    });
+    t.teardown(testbed.close);
+    const [receiver, owner] = testbed.instances;
+    testbed.backends.forEach(({ standIn }) => standIn.behaviour.serviceMillis = 1_000);
+    const prefix = await readOperationPrefix(owner!.callerAddress, owner!.instance);
+    const body = "x".repeat(0.9 * megabyte);
+    const crowd: Crowd = {
+        connections: 190,
+        connection: index => ({
+            begin: [
+                "POST /circulation/checkouts HTTP/1.1",
+                "Host: desk.example",
+                `Endivebridge-Operation: ${prefix}.${index}`,
+                "Endivebridge-Deadline-Millis: 8000",
+                `Content-Length: ${body.length}`,
+                `\r\n${body}`
+            ].join("\r\n")
+        })
+    };
+    const watch = watchProcess(receiver!.process!);
+    t.teardown(watch.stop);
+    await checkBesideCrowd(t, testbed, () => [openCrowd(testbed, crowd)], 1);
+    t.true(watch.isRunning(), "the receiving process runs");
+    t.true(await isServed(testbed), "the receiving instance serves");
+    const { memoryMegabytes: receiverMegabytes } = watch.use();
+    t.true(receiverMegabytes <= memoryMegabytes, `${receiverMegabytes} MB at the receiving instance`);
+});
+
+/** Sends operations to their owner as a peer does whose callers have sent them all at once. */
+async function openPeerCrowd({ instances }: Testbed, calls: number, bodyBytes: number): Promise<ClientCrowd> {
+    const { callerAddress, peerAddress } = instances[0]!;
+    const prefix = await readOperationPrefix(callerAddress, instances[0]!.instance);
+    const client = createClient(
+        PeerService,
+        createConnectTransport({
+            baseUrl: `http://${peerAddress}`,
+            httpVersion: "2",
+            interceptors: [next => request => {
+                request.header.set("endivebridge-peer-key", peerKey);
+                request.header.set("endivebridge-body-bytes", String(bodyBytes));
+                return next(request);
+            }]
+        })
+    );
+    const ended = new AbortController();
+    const body = new Uint8Array(bodyBytes);
+    let sentBytes = 0;
+    const sendOperations = async (index: number): Promise<void> => {
+        for (let count = 0; !ended.signal.aborted; count += 1) {
+            sentBytes += bodyBytes;
+            const request = {
+                service: "circulation",
+                method: "POST",
+                path: "/checkouts",
+                body,
+                deadlineMillis: 4_000,
+                operation: `${prefix}.${index}x${count}`,
+                sourceRegion: "east",
+                request: `crowd-${index}`
+            };
+            await client.runOperation({ request }, { signal: ended.signal }).catch(() => pause(100));
+        }
+    };
+    range(calls).forEach(index => void sendOperations(index));
+    return { sentBytes: () => sentBytes, openCount: () => calls, close: () => ended.abort() };
+}
+
+test.serial("serves others beside large operations that a peer passes on", async t => {
+    t.timeout(120_000);
+    const testbed = await startLimitedTestbed(t);
+    testbed.backends.forEach(({ standIn }) => standIn.behaviour.serviceMillis = 1_000);
+    const crowd = await openPeerCrowd(testbed, 400, 0.9 * megabyte);
+    await checkBesideCrowd(t, testbed, () => [crowd]);
+});
--- a/packages/endivebridge-daemon/src/ForwardRequest.ts
+++ b/packages/endivebridge-daemon/src/ForwardRequest.ts
@@ -5,7 +5,7 @@
 import { monotonicMillis } from "@endivebridge/shared";
 import { Effect } from "effect";
 import { recordPeerLoad } from "./Heartbeat";
-import type { Peer } from "./Peer";
+import { bodyBytesHeader, notRunHeader, type Peer } from "./Peer";
 import type { Answer, SteeringRequest } from "./SteeringRequest";
 
 /** Why forwarding to a peer failed, and whether the request may have run. */
@@ -72,7 +72,11 @@
 }
 
 function callOptions(request: SteeringRequest, signal: AbortSignal) {
-    return { signal, timeoutMs: Math.max(1, Math.floor(request.deadlineAtMillis - monotonicMillis())) };
+    return {
+        signal,
+        timeoutMs: Math.max(1, Math.floor(request.deadlineAtMillis - monotonicMillis())),
+        headers: { [bodyBytesHeader]: String(request.body.length) }
+    };
 }
 
 function callPeer(call: (signal: AbortSignal) => Promise<ForwardResponse>): Effect.Effect<Answer, ForwardFailure> {
@@ -80,6 +84,9 @@
         try: call,
         catch: (error): ForwardFailure => {
             const failure = ConnectError.from(error);
+            if (failure.metadata.has(notRunHeader)) {
+                return { kind: "overloaded", ran: "no", detail: `peer: ${failure.rawMessage}` };
+            }
             const kind = failure.code === Code.DeadlineExceeded ? "deadlineInRun" : "serverFailed";
             return { kind, ran: "maybe", detail: `peer: ${failure.rawMessage}` };
         }
--- a/packages/endivebridge-daemon/src/Metrics.ts
+++ b/packages/endivebridge-daemon/src/Metrics.ts
@@ -10,6 +10,7 @@
     | "lookups"
     | "operations"
     | "limited_connections"
+    | "refused_peer_calls"
     | "answer_millis"
     | "queue_wait_millis"
     | "owned_slots"
--- a/packages/endivebridge-daemon/src/Peer.ts
+++ b/packages/endivebridge-daemon/src/Peer.ts
@@ -10,6 +10,12 @@
 /** Request header that carries the key by which entry instances authenticate to each other. */
 export const peerKeyHeader = "endivebridge-peer-key";
 
+/** Request header with the size of the body that a call carries, from which its memory is claimed. */
+export const bodyBytesHeader = "endivebridge-body-bytes";
+
+/** Response header of a call that a peer has rejected before it read the message. */
+export const notRunHeader = "endivebridge-not-run";
+
 /** Load that a peer last reported for one service. */
 export interface PeerLoad {
     freeSlots: number;
--- a/packages/endivebridge-daemon/src/PeerServer.ts
+++ b/packages/endivebridge-daemon/src/PeerServer.ts
@@ -3,7 +3,7 @@
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { type SteeringError, steeringError } from "@endivebridge/core";
 import { type ForwardRequest, type ForwardResponse, ForwardResponseSchema, PeerService } from "@endivebridge/protocol";
-import { monotonicMillis } from "@endivebridge/shared";
+import { monotonicMillis, requestBytes } from "@endivebridge/shared";
 import { Effect, Result } from "effect";
 import { createServer, type Http2Server, type ServerHttp2Session } from "node:http2";
 import type { Context, ServiceState } from "./Context";
@@ -11,11 +11,13 @@
 import { describeLoad, handleHeartbeat } from "./Heartbeat";
 import { keysMatch } from "./KeysMatch";
 import { runOwnedOperation } from "./Operations";
-import { peerKeyHeader } from "./Peer";
+import { bodyBytesHeader, notRunHeader, peerKeyHeader } from "./Peer";
 import { runRequest } from "./RunRequest";
 import type { Answer, SteeringRequest } from "./SteeringRequest";
 
 const maxForwardedAnswerBytes = 16 * 1_048_576;
+/** A body is held as it was received and as the message decoded from that. */
+const copiesOfBody = 2;
 
 async function collectBody(answer: Answer): Promise<Buffer> {
     const chunks: Buffer[] = [answer.body];
@@ -42,7 +44,7 @@
         method: message.method,
         path: message.path,
         headers: message.headers.map(({ name, value }) => [name, value] as const),
-        body: Buffer.from(message.body),
+        body: Buffer.from(message.body.buffer, message.body.byteOffset, message.body.byteLength),
         idempotent: message.idempotent,
         operation: message.operation === "" ? undefined : message.operation,
         idempotencyKey: undefined,
@@ -156,7 +158,20 @@
         interceptors: [keyInterceptor(context.settings.keys.peer)],
         readMaxBytes: 4 * 1_048_576
     });
-    const server = createServer(handler);
+    const server = createServer((request, response) => {
+        const bodyBytes = Number(request.headers[bodyBytesHeader] ?? 0);
+        let isRefused = false;
+        const claim = context.clientMemory.claim(requestBytes + copiesOfBody * bodyBytes, () => isRefused = true);
+        if (isRefused) {
+            context.metrics.count("refused_peer_calls");
+            response.writeHead(503, { "content-type": "application/json", [notRunHeader]: "1" });
+            response.end(JSON.stringify({ code: "unavailable", message: "callers hold too much memory" }));
+            return;
+        }
+        claim.keep();
+        response.once("close", claim.release);
+        handler(request, response);
+    });
     const sessions = new Set<ServerHttp2Session>();
     server.on("session", session => {
         sessions.add(session);
