--- a/packages/shared/src/ConnectionReader.ts
+++ b/packages/shared/src/ConnectionReader.ts
@@ -165,6 +165,10 @@
         recordAnswer: () => {
             unansweredCount -= 1;
             bytesSinceAnswer = 0;
+            if (!isReadingBody()) {
+                // A kept connection would keep the last message, and its body with it.
+                lastMessage = undefined;
+            }
             resumeParsing();
         },
         hasRequest: () => unansweredCount > 0,
