--- a/packages/shared/src/ConnectionReader.ts
+++ b/packages/shared/src/ConnectionReader.ts
@@ -124,6 +124,7 @@
         }
     };
 
+    // The server has its listeners on the socket already, so that the socket's own stream methods are replaced.
     socket._read = size => {
         if (waitingBytes > 0) {
             resumeParsing();
--- a/packages/shared/src/HeldMemory.ts
+++ b/packages/shared/src/HeldMemory.ts
@@ -26,6 +26,7 @@
 
 interface Claim {
     bytes: number;
+    isEnded: boolean;
     readonly onShed: () => void;
 }
 
@@ -50,9 +51,11 @@
         return largest;
     };
     const remove = (claim: Claim) => {
-        sheddable.delete(claim);
-        claimedBytes -= claim.bytes;
-        claim.bytes = 0;
+        if (!claim.isEnded) {
+            claim.isEnded = true;
+            sheddable.delete(claim);
+            claimedBytes -= claim.bytes;
+        }
     };
     const shedExcess = () => {
         while (claimedBytes > limitBytes) {
@@ -66,21 +69,13 @@
     };
     return {
         claim: (bytes, onShed) => {
-            const claim: Claim = { bytes, onShed };
-            let isReleased = false;
+            const claim: Claim = { bytes, isEnded: false, onShed };
             sheddable.add(claim);
             claimedBytes += bytes;
-            const release = () => {
-                if (!isReleased) {
-                    isReleased = true;
-                    remove(claim);
-                }
-            };
             shedExcess();
             return {
                 resize: newBytes => {
-                    const isHeld = !isReleased && claim.bytes > 0;
-                    if (isHeld) {
+                    if (!claim.isEnded) {
                         claimedBytes += newBytes - claim.bytes;
                         claim.bytes = newBytes;
                         shedExcess();
@@ -92,7 +87,7 @@
                     }
                 },
                 keep: () => sheddable.delete(claim),
-                release
+                release: () => remove(claim)
             };
         },
         isShort: () => claimedBytes > limitBytes * shortShare,
--- a/packages/shared/src/ReadTurns.ts
+++ b/packages/shared/src/ReadTurns.ts
@@ -53,7 +53,7 @@
     const runTurn = () => {
         isScheduled = false;
         const endMillis = monotonicMillis() + turnMillis;
-        // A turn without light readers is that of the heavy ones; with light ones, these get at least one piece.
+        // Light readers go first, but a turn always parses a piece of a heavy one.
         parseNext(heavy);
         while (light.size + heavy.size > 0 && monotonicMillis() < endMillis) {
             parseNext(light.size > 0 ? light : heavy);
