--- a/packages/endivebridge-bench/src/__tests__/load/ClientCrowds.test.ts
+++ b/packages/endivebridge-bench/src/__tests__/load/ClientFloods.test.ts
@@ -1,11 +1,11 @@
 // Guards against clients that make an instance hold what they send and don't finish, until its process runs out of memory
-// or descriptors, or that keep it busy, so that it serves nobody else.
+// or descriptors, or that keep it busy, so that it serves no others.
 
 import { createClient } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
 import { PeerService } from "@endivebridge/protocol";
 import { range } from "@endivebridge/shared";
-import { type ClientCrowd, type CrowdConnection, openClientCrowd, watchProcess } from "@endivebridge/standins";
+import { type ClientFlood, type FloodConnection, openClientFlood, watchProcess } from "@endivebridge/standins";
 import test, { type ExecutionContext } from "ava";
 import { once } from "node:events";
 import { peerKey } from "../../InstanceProcesses";
@@ -18,7 +18,7 @@
 const callerConnections = 200;
 /** Servers, peers, the platform and the files of a process need few beside those of callers. */
 const maxDescriptors = callerConnections + 200;
-const crowdMillis = 2_500;
+const floodMillis = 2_500;
 const attempts = 5;
 const attemptPatienceMillis = 6_000;
 const megabyte = 1_048_576;
@@ -34,7 +34,7 @@
     [
         "POST /circulation/checkouts HTTP/1.1",
         "Host: desk.example",
-        `Idempotency-Key: crowd-${index}`,
+        `Idempotency-Key: flood-${index}`,
         "Endivebridge-Deadline-Millis: 2000",
         ...lines,
         "\r\n"
@@ -43,13 +43,13 @@
 const chunkOf = (bytes: number) => `${bytes.toString(16)}\r\n${"x".repeat(bytes)}\r\n`;
 const read = "GET /circulation/holds HTTP/1.1\r\nHost: desk.example\r\nEndivebridge-Deadline-Millis: 2000\r\n\r\n";
 
-interface Crowd {
+interface Flood {
     readonly connections: number;
-    readonly connection: (index: number) => CrowdConnection;
+    readonly connection: (index: number) => FloodConnection;
 }
 
-/** What each kind of crowd sends to the address for callers. */
-const crowds: Readonly<Record<string, Crowd>> = {
+/** What each kind of flood sends to the address for callers. */
+const floods: Readonly<Record<string, Flood>> = {
     "bodies in chunks of one byte": {
         connections: 190,
         connection: index => ({ begin: chunked(index), repeat: chunkOf(1) })
@@ -118,69 +118,69 @@
     return testbed;
 }
 
-function openCrowd({ instances }: Testbed, crowd: Crowd): ClientCrowd {
+function openFlood({ instances }: Testbed, flood: Flood): ClientFlood {
     const [host = "", port] = instances[0]!.callerAddress.split(":");
-    return openClientCrowd({ host, port: Number(port), ...crowd });
+    return openClientFlood({ host, port: Number(port), ...flood });
 }
 
-/** Checks an instance beside a crowd and after it. */
-async function checkBesideCrowd(
+/** Checks an instance beside a flood and after it. */
+async function checkBesideFlood(
     t: ExecutionContext,
     testbed: Testbed,
-    openCrowds: () => readonly ClientCrowd[],
+    openFloods: () => readonly ClientFlood[],
     index = 0
 ): Promise<void> {
     const watch = watchProcess(testbed.instances[index]!.process!);
     t.teardown(watch.stop);
     t.true(await isServed(testbed, index), "served in calm");
-    const opened = openCrowds();
-    t.teardown(() => opened.forEach(crowd => crowd.close()));
-    await pause(crowdMillis);
+    const opened = openFloods();
+    t.teardown(() => opened.forEach(flood => flood.close()));
+    await pause(floodMillis);
     const isServedBeside = await isServed(testbed, index);
-    const sent = opened.reduce((sum, crowd) => sum + crowd.sentBytes(), 0);
-    t.true(watch.isRunning(), "the process runs beside the crowd");
+    const sent = opened.reduce((sum, flood) => sum + flood.sentBytes(), 0);
+    t.true(watch.isRunning(), "the process runs beside the flood");
     const use = watch.use();
     t.log(
         `${use.memoryMegabytes} MB and ${use.descriptors} descriptors at most; ${Math.round(sent / megabyte)} MB sent`
     );
-    opened.forEach(crowd => crowd.close());
-    t.true(isServedBeside, "served beside the crowd");
-    t.true(await isServed(testbed, index), "served after the crowd");
-    t.true(watch.isRunning(), "the process runs after the crowd");
+    opened.forEach(flood => flood.close());
+    t.true(isServedBeside, "served beside the flood");
+    t.true(await isServed(testbed, index), "served after the flood");
+    t.true(watch.isRunning(), "the process runs after the flood");
     t.true(use.memoryMegabytes <= memoryMegabytes, `${use.memoryMegabytes} MB`);
     t.true(use.descriptors <= maxDescriptors, `${use.descriptors} descriptors`);
 }
 
-for (const [name, crowd] of Object.entries(crowds)) {
+for (const [name, flood] of Object.entries(floods)) {
     test.serial(`serves others beside ${name}`, async t => {
         t.timeout(120_000);
         const testbed = await startLimitedTestbed(t);
-        await checkBesideCrowd(t, testbed, () => [openCrowd(testbed, crowd)]);
+        await checkBesideFlood(t, testbed, () => [openFlood(testbed, flood)]);
     });
 }
 
 test.serial("serves others beside requests sent ahead and bodies in chunks of one byte", async t => {
     t.timeout(120_000);
     const testbed = await startLimitedTestbed(t);
-    await checkBesideCrowd(
+    await checkBesideFlood(
         t,
         testbed,
-        () => ["requests sent ahead", "bodies in chunks of one byte"].map(name => openCrowd(testbed, crowds[name]!))
+        () => ["requests sent ahead", "bodies in chunks of one byte"].map(name => openFlood(testbed, floods[name]!))
     );
 });
 
 test.serial("closes connections whose body is above the limit and has no end", async t => {
     t.timeout(120_000);
     const testbed = await startLimitedTestbed(t);
-    const crowd = openCrowd(testbed, {
+    const flood = openFlood(testbed, {
         connections: 5,
         connection: index => ({ begin: chunked(index), repeat: chunkOf(4_096), maxBytes: Infinity })
     });
-    t.teardown(crowd.close);
+    t.teardown(flood.close);
     const isEveryOneClosed = async () => {
         for (let polls = 0; polls < 150; polls += 1) {
             await pause(100);
-            if (crowd.openCount() === 0) {
+            if (flood.openCount() === 0) {
                 return true;
             }
         }
@@ -193,9 +193,9 @@
     t.timeout(120_000);
     const testbed = await startLimitedTestbed(t);
     const child = testbed.instances[0]!.process!;
-    const crowd = openCrowd(testbed, crowds["requests sent ahead"]!);
-    t.teardown(crowd.close);
-    await pause(crowdMillis);
+    const flood = openFlood(testbed, floods["requests sent ahead"]!);
+    t.teardown(flood.close);
+    await pause(floodMillis);
     child.kill("SIGTERM");
     await Promise.race([once(child, "exit"), pause(40_000)]);
     t.is(child.exitCode, 0);
@@ -207,9 +207,9 @@
     t.teardown(testbed.close);
     testbed.backends.forEach(({ standIn }) => standIn.behaviour.serviceMillis = 1_000);
     const child = testbed.instances[0]!.process!;
-    const crowd = openCrowd(testbed, { connections: 10, connection: () => ({ begin: read.repeat(20) }) });
+    const flood = openFlood(testbed, { connections: 10, connection: () => ({ begin: read.repeat(20) }) });
     await pause(1_000);
-    crowd.close();
+    flood.close();
     await pause(1_000);
     child.kill("SIGTERM");
     await Promise.race([once(child, "exit"), pause(30_000)]);
@@ -237,7 +237,7 @@
     testbed.backends.forEach(({ standIn }) => standIn.behaviour.serviceMillis = 1_000);
     const prefix = await readOperationPrefix(owner!.callerAddress, owner!.instance);
     const body = "x".repeat(0.9 * megabyte);
-    const crowd: Crowd = {
+    const flood: Flood = {
         connections: 190,
         connection: index => ({
             begin: [
@@ -252,7 +252,7 @@
     };
     const watch = watchProcess(receiver!.process!);
     t.teardown(watch.stop);
-    await checkBesideCrowd(t, testbed, () => [openCrowd(testbed, crowd)], 1);
+    await checkBesideFlood(t, testbed, () => [openFlood(testbed, flood)], 1);
     t.true(watch.isRunning(), "the receiving process runs");
     t.true(await isServed(testbed), "the receiving instance serves");
     const { memoryMegabytes: receiverMegabytes } = watch.use();
@@ -260,7 +260,7 @@
 });
 
 /** Sends operations to their owner as a peer does whose callers have sent them all at once. */
-async function openPeerCrowd({ instances }: Testbed, calls: number, bodyBytes: number): Promise<ClientCrowd> {
+async function openPeerFlood({ instances }: Testbed, calls: number, bodyBytes: number): Promise<ClientFlood> {
     const { callerAddress, peerAddress } = instances[0]!;
     const prefix = await readOperationPrefix(callerAddress, instances[0]!.instance);
     const client = createClient(
@@ -289,7 +289,7 @@
                 deadlineMillis: 4_000,
                 operation: `${prefix}.${index}x${count}`,
                 sourceRegion: "east",
-                request: `crowd-${index}`
+                request: `flood-${index}`
             };
             await client.runOperation({ request }, { signal: ended.signal }).catch(() => pause(100));
         }
@@ -302,6 +302,6 @@
     t.timeout(120_000);
     const testbed = await startLimitedTestbed(t);
     testbed.backends.forEach(({ standIn }) => standIn.behaviour.serviceMillis = 1_000);
-    const crowd = await openPeerCrowd(testbed, 400, 0.9 * megabyte);
-    await checkBesideCrowd(t, testbed, () => [crowd]);
+    const flood = await openPeerFlood(testbed, 400, 0.9 * megabyte);
+    await checkBesideFlood(t, testbed, () => [flood]);
 });
--- a/packages/endivebridge-standins/src/ClientCrowd.ts
+++ b/packages/endivebridge-standins/src/ClientFlood.ts
@@ -1,8 +1,8 @@
 import { range } from "@endivebridge/shared";
 import { connect, type Socket } from "node:net";
 
-/** What one connection of a crowd sends. */
-export interface CrowdConnection {
+/** What one connection of a flood sends. */
+export interface FloodConnection {
     readonly begin: string;
     /** Sent again and again behind `begin`, as fast as the server reads. */
     readonly repeat?: string;
@@ -12,16 +12,16 @@
     readonly repeatMillis?: number;
 }
 
-/** Options of {@link openClientCrowd}. */
-export interface ClientCrowdOptions {
+/** Options of {@link openClientFlood}. */
+export interface ClientFloodOptions {
     readonly host: string;
     readonly port: number;
     readonly connections: number;
-    readonly connection: (index: number) => CrowdConnection;
+    readonly connection: (index: number) => FloodConnection;
 }
 
 /** Connections of clients that read no answer and close nothing. */
-export interface ClientCrowd {
+export interface ClientFlood {
     /** Connections that the server has accepted and not closed. */
     readonly openCount: () => number;
     readonly sentBytes: () => number;
@@ -31,7 +31,7 @@
 const defaultMaxBytes = 4 * 1_048_576;
 const blockBytes = 65_536;
 
-function send(socket: Socket, { begin, repeat, maxBytes = defaultMaxBytes, repeatMillis = 0 }: CrowdConnection): void {
+function send(socket: Socket, { begin, repeat, maxBytes = defaultMaxBytes, repeatMillis = 0 }: FloodConnection): void {
     socket.write(begin);
     if (repeat === undefined) {
         return;
@@ -51,8 +51,8 @@
     sendBlocks();
 }
 
-/** Opens the connections of a crowd at once. */
-export function openClientCrowd({ host, port, connections, connection }: ClientCrowdOptions): ClientCrowd {
+/** Opens the connections of a flood at once. */
+export function openClientFlood({ host, port, connections, connection }: ClientFloodOptions): ClientFlood {
     const open = new Set<Socket>();
     let closedBytes = 0;
     const sockets = range(connections).map(index => {
--- a/packages/endivebridge-standins/src/index.ts
+++ b/packages/endivebridge-standins/src/index.ts
@@ -9,7 +9,7 @@
     startBackendStandIn,
     tokenHeader
 } from "./BackendStandIn";
-export { type ClientCrowd, type ClientCrowdOptions, type CrowdConnection, openClientCrowd } from "./ClientCrowd";
+export { type ClientFlood, type ClientFloodOptions, type FloodConnection, openClientFlood } from "./ClientFlood";
 export {
     endlessBodies,
     endlessBytesAfter,
