Daemon: heartbeats are served while memory is short; a request without Host gets 400

Seen, by reading: each call of a peer claimed memory, so that with all of it kept a heartbeat was refused, upon which leases lapse. A size that is no number made the sum of all claims none, which ended the bound; a negative one lowered it. A request of HTTP/1.1 without Host was served, where the server itself had answered 400 before the limits.

Change: only calls that name the size of a body, in digits, claim memory. The daemon answers 400 (badRequest, not run) itself.

No test of the heartbeats: not run with all memory kept.

--- a/packages/endivebridge-bench/src/__tests__/integration/WholePath.test.ts
+++ b/packages/endivebridge-bench/src/__tests__/integration/WholePath.test.ts
@@ -37,6 +37,7 @@
 const hostileRequests: readonly string[] = [
     "GET /circulation/holds HTTP/1.1\r\nHost: x\r\nEndivebridge-Deadline-Millis: soon\r\n\r\n",
     "GET /circulation/holds HTTP/1.1\r\nHost: x\r\nEndivebridge-Deadline-Millis: 5\r\nEndivebridge-Deadline-Millis: 6\r\n\r\n",
+    "GET /circulation/holds HTTP/1.1\r\n\r\n",
     "GET /nowhere/holds HTTP/1.1\r\nHost: x\r\n\r\n",
     "GET /__proto__/holds HTTP/1.1\r\nHost: x\r\n\r\n",
     "GET http://other/ HTTP/1.1\r\nHost: x\r\n\r\n",
--- a/packages/endivebridge-daemon/src/CallerRequest.ts
+++ b/packages/endivebridge-daemon/src/CallerRequest.ts
@@ -163,6 +163,9 @@
         if (context.shutdown.read()) {
             return yield* refuse("shuttingDown", "");
         }
+        if (incoming.headers.host === undefined && incoming.httpVersion === "1.1") {
+            return yield* refuse("badRequest", "the Host header is missing");
+        }
         const target = incoming.url ?? "";
         if (!targetPattern.test(target)) {
             return yield* refuse("badRequest", "the target is no path");
--- a/packages/endivebridge-daemon/src/PeerServer.ts
+++ b/packages/endivebridge-daemon/src/PeerServer.ts
@@ -142,6 +142,10 @@
     };
 }
 
+function parseBodyBytes(text: string | readonly string[] | undefined): number | undefined {
+    return typeof text === "string" && /^\d{1,10}$/.test(text) ? Number(text) : undefined;
+}
+
 /** HTTP/2 server that accepts calls of other entry instances. */
 export interface PeerServer {
     readonly server: Http2Server;
@@ -159,7 +163,12 @@
         readMaxBytes: 4 * 1_048_576
     });
     const server = createServer((request, response) => {
-        const bodyBytes = Number(request.headers[bodyBytesHeader] ?? 0);
+        const bodyBytes = parseBodyBytes(request.headers[bodyBytesHeader]);
+        if (bodyBytes === undefined) {
+            // Heartbeats and queries carry no body; they are served also while memory is short.
+            handler(request, response);
+            return;
+        }
         let isRefused = false;
         const claim = context.clientMemory.claim(requestBytes + copiesOfBody * bodyBytes, () => isRefused = true);
         if (isRefused) {
